--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,142 @@
+//! `LB_CONFIG` and the environment, read into typed settings.
+
+use birchspoke::interface::Settings;
+use birchspoke::wire::{self, Names, WireError};
+use serde_json::Value;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// All that a node is told at its start.
+pub struct Config {
+    /// This node's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the decisions.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where datagrams of other nodes arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The nodes of the tier, by number.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches every node of the tier.
+    pub peers_all: Option<SocketAddr>,
+    /// The list of backends as last had, in discovery's form.
+    pub known: Value,
+    /// What the decisions need.
+    pub settings: Settings,
+    /// Names of classes, tenants and zones.
+    pub names: Names,
+}
+
+/// Why no node can be started from this configuration.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// There is no configuration.
+    #[error("LB_CONFIG is not set")]
+    Unset,
+    /// The file cannot be read.
+    #[error("LB_CONFIG: {path}: {reason}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        reason: String,
+    },
+    /// A field is absent or wrong.
+    #[error("{field}: {reason}")]
+    Field {
+        /// The field.
+        field: String,
+        /// Why.
+        reason: String,
+    },
+    /// The settings are wrong.
+    #[error("settings: {0}")]
+    Settings(#[from] WireError),
+}
+
+fn wrong(field: &str, reason: impl Into<String>) -> ConfigError {
+    ConfigError::Field { field: field.to_owned(), reason: reason.into() }
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| wrong(field, format!("{text:?} is not an address and port")))
+}
+
+/// A text of the file, or of the environment where that names it too.
+fn text(file: &Value, field: &str, variable: Option<&str>) -> Result<Option<String>, ConfigError> {
+    if let Some(value) = variable.and_then(|v| std::env::var(v).ok()) {
+        return Ok(Some(value));
+    }
+    match file.get(field) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(s)) => Ok(Some(s.clone())),
+        Some(_) => Err(wrong(field, "not a text")),
+    }
+}
+
+fn address_of(
+    file: &Value,
+    field: &str,
+    variable: Option<&str>,
+) -> Result<Option<SocketAddr>, ConfigError> {
+    text(file, field, variable)?.map(|t| address(field, &t)).transpose()
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names.
+    pub fn load() -> Result<Config, ConfigError> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
+        let file = |reason: String| ConfigError::File { path: path.clone(), reason };
+        let content = std::fs::read_to_string(&path).map_err(|e| file(e.to_string()))?;
+        let json: Value = serde_json::from_str(&content).map_err(|e| file(e.to_string()))?;
+        Config::read(&json)
+    }
+
+    fn read(json: &Value) -> Result<Config, ConfigError> {
+        let missing = |field: &'static str| move || wrong(field, "missing");
+        let listen = address_of(json, "listen", Some("LB_LISTEN"))?.ok_or_else(missing("listen"))?;
+        let discovery =
+            address_of(json, "discovery", Some("LB_DISCOVERY"))?.ok_or_else(missing("discovery"))?;
+        let seed = match json.get("seed") {
+            Some(Value::Number(n)) => n.as_u64().ok_or_else(|| wrong("seed", "not a whole number"))?,
+            Some(Value::String(s)) => u64::from_str_radix(s, 16).unwrap_or_else(|_| wire::stable_hash(s)),
+            _ => return Err(wrong("seed", "missing or not a text")),
+        };
+        let sockets = match json.pointer("/limits/sockets") {
+            None | Some(Value::Null) => 1024,
+            Some(v) => v
+                .as_u64()
+                .and_then(|n| usize::try_from(n).ok())
+                .ok_or_else(|| wrong("limits.sockets", "not a whole number"))?,
+        };
+        let peers = match json.get("peers") {
+            None | Some(Value::Null) => Vec::new(),
+            Some(Value::Array(list)) => list
+                .iter()
+                .enumerate()
+                .map(|(n, v)| address(&format!("peers[{n}]"), v.as_str().unwrap_or_default()))
+                .collect::<Result<_, _>>()?,
+            Some(_) => return Err(wrong("peers", "not a list")),
+        };
+        let settings = json.get("settings").ok_or_else(missing("settings"))?;
+        let (settings, names) = wire::settings(&settings.to_string())?;
+        Ok(Config {
+            name: text(json, "name", Some("LB_NAME"))?.unwrap_or_default(),
+            listen,
+            discovery,
+            seed,
+            sockets,
+            peer_listen: address_of(json, "peer_listen", None)?,
+            peers,
+            peers_all: address_of(json, "peers_all", None)?,
+            known: json.get("known").cloned().unwrap_or(Value::Null),
+            settings,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/src/node/discovery.rs
@@ -0,0 +1,185 @@
+//! The list of backends: the first one from the configuration, then a watch on discovery.
+
+use crate::driver::{Driver, Input, Target};
+use crate::log;
+use crate::socket::Descriptors;
+use crate::upstream::Conn;
+use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
+use birchspoke::wire::{Names, stable_hash};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use serde_json::Value;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
+/// agent that has fallen silent.
+const PUSHED_WAIT_MS: u64 = 2_000;
+const ASKED_WAIT_MS: u64 = 20_000;
+/// What an answer may take beyond that.
+const SLACK: Duration = Duration::from_millis(1_500);
+/// The whole list may be a great deal larger than a request.
+const LIST_LIMIT: usize = 8 * 1024 * 1024;
+/// Pause after a failed call where nobody paces the calls.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// An answer of discovery, or the list that a node starts with.
+pub struct Listing {
+    rev: u64,
+    all: bool,
+    /// Its lines, without those that could not be read.
+    pub targets: Vec<Target>,
+}
+
+/// Reads a list in discovery's form. Bad lines are logged and skipped: one of them must not hide the rest.
+pub fn listing(json: &Value, names: &Names) -> Option<Listing> {
+    let rev = json.get("rev")?.as_u64()?;
+    let all = json.get("all").and_then(Value::as_bool).unwrap_or(false);
+    let lines = json.get("targets")?.as_array()?;
+    let mut targets = Vec::with_capacity(lines.len());
+    for line in lines {
+        match target(line, names) {
+            Ok(target) => targets.push(target),
+            Err(field) => log::line(&format!("discovery: entry skipped, bad {field}: {line}")),
+        }
+    }
+    Some(Listing { rev, all, targets })
+}
+
+fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
+    let text = |field: &str| line.get(field).and_then(Value::as_str);
+    let uid = text("uid").filter(|u| !u.is_empty()).ok_or("uid")?;
+    let health = match text("state") {
+        Some("up") => Health::Up,
+        Some("draining") => Health::Draining,
+        Some("removed") => Health::Gone,
+        _ => return Err("state"),
+    };
+    let address = match text("endpoint") {
+        Some(text) => Some(text.parse().map_err(|_| "endpoint")?),
+        None if health == Health::Gone => None,
+        None => return Err("endpoint"),
+    };
+    let number = |field: &'static str, default: f64| match line.get(field) {
+        None | Some(Value::Null) => Ok(default),
+        Some(v) => v.as_f64().ok_or(field),
+    };
+    let cell = number("pod_group", 0.0)?;
+    if cell < 0.0 || cell > f64::from(u32::MAX) {
+        return Err("pod_group");
+    }
+    let entry = Entry {
+        backend: BackendId(stable_hash(uid)),
+        zone: names.zone(text("az")),
+        cell: cell as u32,
+        health,
+        units: number("capacity_hint", 1.0)?,
+        // Wall time, which is what the driver's clock counts in.
+        ready_at_ms: number("boot_ms", 0.0)?,
+    };
+    Ok(Target { entry, address })
+}
+
+/// Keeps the list fresh for as long as the node lives.
+pub struct Watch {
+    /// Where discovery is.
+    pub address: SocketAddr,
+    /// How the list arrives.
+    pub mode: Discovery,
+    /// Names of zones.
+    pub names: Rc<Names>,
+    /// The count of sockets.
+    pub descriptors: Rc<Descriptors>,
+    /// The decisions' wish to watch, where discovery is asked.
+    pub wishes: mpsc::UnboundedReceiver<bool>,
+}
+
+impl Watch {
+    /// Runs until the driver is gone.
+    pub async fn run(mut self, driver: Rc<Driver>) {
+        let mut conn = None;
+        let mut rev: Option<u64> = None;
+        let mut wanted = self.mode == Discovery::Pushed;
+        let mut failing = false;
+        loop {
+            while let Ok(wish) = self.wishes.try_recv() {
+                wanted = wish;
+            }
+            if !wanted {
+                let Some(wish) = self.wishes.recv().await else { return };
+                wanted = wish;
+                continue;
+            }
+            match self.call(&mut conn, rev).await {
+                Ok(listing) => {
+                    // A version below ours is another count: only the whole list says what holds.
+                    let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
+                    rev = if lost { None } else { Some(listing.rev) };
+                    if failing {
+                        log::line("discovery: answers again");
+                        failing = false;
+                    }
+                    if !lost && (listing.all || !listing.targets.is_empty()) {
+                        let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
+                        driver.take(Input::List(kind, listing.targets));
+                    }
+                    if lost {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                }
+                Err(e) => {
+                    conn = None;
+                    if !failing {
+                        log::line(&format!("discovery: no answer: {e}"));
+                        failing = true;
+                    }
+                    if self.mode == Discovery::OnRequest {
+                        // The decisions pace the calls: each costs the one service of all nodes.
+                        wanted = false;
+                        driver.take(Input::List(ListKind::Failed, Vec::new()));
+                    } else {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call(&self, conn: &mut Option<Conn>, rev: Option<u64>) -> Result<Listing, Box<dyn Error>> {
+        let wait_ms = if self.mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
+        let (path, wait) = match rev {
+            None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
+            Some(rev) => {
+                let path = format!("/discovery/hosts?after={rev}&wait_ms={wait_ms}");
+                (path, Duration::from_millis(wait_ms))
+            }
+        };
+        let request =
+            Request::get(path).header(HOST, self.address.to_string()).body(Full::<Bytes>::default())?;
+        tokio::time::timeout(wait + SLACK, self.exchange(conn, request)).await?
+    }
+
+    async fn exchange(
+        &self,
+        kept: &mut Option<Conn>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Listing, Box<dyn Error>> {
+        let mut conn = match kept.take().filter(Conn::alive) {
+            Some(conn) => conn,
+            None => Conn::open(self.address, self.descriptors.take().await).await?,
+        };
+        let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("status {}", answer.status()).into());
+        }
+        let json = serde_json::from_slice(answer.body())?;
+        let listing = listing(&json, &self.names).ok_or("not a list")?;
+        *kept = Some(conn);
+        Ok(listing)
+    }
+}
--- /dev/null
+++ b/src/node/main.rs
@@ -0,0 +1,126 @@
+//! One node: the decisions of the crate `birchspoke` on real sockets.
+
+mod config;
+mod discovery;
+mod driver;
+mod log;
+mod peers;
+mod server;
+mod socket;
+mod upstream;
+
+use crate::config::Config;
+use crate::discovery::Watch;
+use crate::driver::{Driver, Input};
+use crate::peers::Peers;
+use crate::server::Server;
+use crate::socket::Descriptors;
+use crate::upstream::Upstream;
+use birchspoke::Balancer;
+use birchspoke::interface::ListKind;
+use std::error::Error;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Connections that may wait while this node is busy or out of descriptors.
+const BACKLOG: u32 = 1024;
+/// How often idle connections to backends are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+/// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
+/// before that is failed.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let settings = config.settings.clone();
+    let descriptors = Descriptors::new(config.sockets);
+    let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
+    let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
+        Some(at) => {
+            let peers = Peers::new(at, config.peers, config.peers_all, settings.slot).await;
+            Some(Rc::new(peers.map_err(|e| format!("peer_listen: {at}: {e}"))?))
+        }
+        None => None,
+    };
+    let balancer = Balancer::new(config.settings, config.seed)?;
+    let (wish, wishes) = mpsc::unbounded_channel();
+    let driver = Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), wish);
+    let names = Rc::new(config.names);
+    driver.take(Input::Start);
+    if let Some(known) = discovery::listing(&config.known, &names) {
+        driver.take(Input::List(ListKind::Saved, known.targets));
+    }
+    let watch = Watch {
+        address: config.discovery,
+        mode: settings.discovery,
+        names: names.clone(),
+        descriptors: descriptors.clone(),
+        wishes,
+    };
+    spawn_local(watch.run(driver.clone()));
+    if let Some(peers) = peers {
+        let driver = driver.clone();
+        spawn_local(async move { peers.listen(&driver).await });
+    }
+    spawn_local(async move {
+        let mut turn = tokio::time::interval(SWEEP);
+        turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            turn.tick().await;
+            upstream.sweep();
+        }
+    });
+    let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
+    let server = Server::new(driver, names, settings.classes, settings.open_cap as usize, descriptors);
+    log::line(&format!("{} serves on {}", config.name, config.listen));
+    let accepting = {
+        let server = server.clone();
+        spawn_local(async move { server.accept(listener).await })
+    };
+    terminate.recv().await;
+    log::line("told to stop: answers what comes and what is there, then ends");
+    let end = Instant::now() + longest + LAST_ANSWERS;
+    server.stop();
+    accepting.await?;
+    server.wind_down(end).await;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let config = match Config::load() {
+        Ok(config) => config,
+        Err(e) => {
+            log::line(&format!("configuration: {e}"));
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::line(&format!("no runtime: {e}"));
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, run(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::line(&e.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,6 +114,23 @@
         list.iter().position(|n| n == name)
     }
 
+    /// Place of a class in the settings; one that is not there is held to the strictest rules.
+    pub fn class(&self, name: &str) -> usize {
+        Names::index(&self.classes, name).unwrap_or(usize::MAX)
+    }
+
+    /// Place of a tenant in the settings.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        Names::index(&self.tenants, name)
+    }
+
+    /// Number of a zone; unknown ones are all the same foreign one.
+    pub fn zone(&self, name: Option<&str>) -> u16 {
+        name.and_then(|z| Names::index(&self.zones, z))
+            .and_then(|z| u16::try_from(z).ok())
+            .unwrap_or(u16::MAX)
+    }
+
     fn backend(&mut self, name: &str) -> BackendId {
         let id = BackendId(stable_hash(name));
         self.backends.entry(id).or_insert_with(|| name.to_owned());
@@ -128,10 +145,9 @@
             "D" => Health::Gone,
             other => return Err(bad("health", format!("unknown value {other:?}"))),
         };
-        let zone = line.get("locality").and_then(|z| Names::index(&self.zones, z)).unwrap_or(usize::MAX);
         Ok(Entry {
             backend: self.backend(line.need("backend")?),
-            zone: u16::try_from(zone).unwrap_or(u16::MAX),
+            zone: self.zone(line.get("locality")),
             cell: match line.get("pod") {
                 Some(p) => p.parse().map_err(|_| bad("pod", "not a whole number"))?,
                 None => 0,
@@ -150,8 +166,8 @@
         Ok(match line.name {
             "demand" => Event::Request(Request {
                 id: id()?,
-                class: Names::index(&self.classes, line.need("priority")?).unwrap_or(usize::MAX),
-                tenant: line.get("userGroup").and_then(|t| Names::index(&self.tenants, t)),
+                class: self.class(line.need("priority")?),
+                tenant: line.get("userGroup").and_then(|t| self.tenant(t)),
                 key: line.get("nameKey").map(stable_hash),
                 deadline_ms: line.time("deadlineMs")?,
                 effort_ms: line.opt_time("effortMs")?,
@@ -252,21 +268,39 @@
     for pair in line.get("pressure").unwrap_or_default().split(',').filter(|p| !p.is_empty()) {
         let (name, value) =
             pair.split_once(':').ok_or_else(|| bad("pressure", format!("no ':' in {pair:?}")))?;
-        let place = match name {
-            "rif" => &mut load.in_hand,
-            "q" => &mut load.queue,
-            "busy" => &mut load.busy,
-            "lat_ms" => &mut load.latency_ms,
-            "rate" => &mut load.rate,
-            "fail_rate" => &mut load.errors,
-            _ => continue,
-        };
+        let Some(place) = load_place(&mut load, name) else { continue };
         let value = value.parse().ok().filter(|v: &f64| v.is_finite());
         *place = Some(value.ok_or_else(|| bad("pressure", format!("{name} is not a number")))?);
     }
     Ok(load)
 }
 
+/// Where a figure of a load report goes, by its name on the wire or on sockets.
+fn load_place<'a>(load: &'a mut Load, name: &str) -> Option<&'a mut Option<f64>> {
+    Some(match name {
+        "rif" | "inflight" => &mut load.in_hand,
+        "q" | "queue" => &mut load.queue,
+        "busy" | "util" => &mut load.busy,
+        "lat_ms" | "latency_ms" => &mut load.latency_ms,
+        "rate" | "qps" => &mut load.rate,
+        "fail_rate" | "eps" => &mut load.errors,
+        _ => return None,
+    })
+}
+
+/// Reads the load report of an answer, `TEXT inflight=7, queue=2`. What cannot be read is left out: the
+/// report is advice, and the answer that carries it stands.
+pub fn load_report(text: &str) -> Load {
+    let mut load = Load::default();
+    let text = text.trim().trim_start_matches("TEXT");
+    for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
+        if let Some(place) = load_place(&mut load, name.trim()) {
+            *place = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+        }
+    }
+    load
+}
+
 fn hex(bytes: &[u8]) -> String {
     if bytes.is_empty() {
         return "-".to_owned();
