Test one request and its one answer over loopback

The real binary between fake backends, discovery and clients: served byte for byte, each end of an attempt by class, silent backend, late answer, stale connection, refusal with Retry-After, client gone. Shutdown now fails what is still open just before SIGKILL could find it, rather than losing it.

--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::log;
 use crate::peers::Peers;
-use crate::upstream::{Call, Errand, Finish, Reply, Upstream};
+use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
@@ -213,9 +213,17 @@
         Ticket { driver: self.clone(), id, answer, expires }
     }
 
-    /// Requests that are owed an answer.
-    pub fn owed(&self) -> usize {
-        self.core.borrow().open.values().filter(|o| o.owed.is_some()).count()
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.core.borrow().open.len()
+    }
+
+    /// Fails all that is owed, for a node that has no more time.
+    pub fn end_all(self: &Rc<Self>) {
+        let ids: Vec<RequestId> = self.core.borrow().open.keys().copied().collect();
+        for id in ids {
+            self.take(Input::Left(id));
+        }
     }
 
     /// A request could be served.
@@ -310,7 +318,7 @@
     }
 
     /// Keeps a connection unless its backend has drained, gone or moved meanwhile.
-    fn keep(&self, errand: &Errand, conn: Option<crate::upstream::Conn>) {
+    fn keep(&self, errand: &Errand, conn: Option<Conn>) {
         let core = self.core.borrow();
         let same = core.places.get(&errand.backend).is_some_and(|p| p.up && p.address == errand.address);
         if let Some(conn) = conn.filter(|_| same) {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -34,7 +34,9 @@
 /// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
 /// before that is failed.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
-const LAST_ANSWERS: Duration = Duration::from_millis(500);
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// Time for those failures to be written.
+const FAREWELL: Duration = Duration::from_millis(100);
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -86,7 +88,8 @@
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
-    let server = Server::new(driver, names, settings.classes, settings.open_cap as usize, descriptors);
+    let server =
+        Server::new(driver.clone(), names, settings.classes, settings.open_cap as usize, descriptors);
     log::line(&format!("{} serves on {}", config.name, config.listen));
     let accepting = {
         let server = server.clone();
@@ -98,6 +101,9 @@
     server.stop();
     accepting.await?;
     server.wind_down(end).await;
+    // Better failed than lost: what is still open would be cut by the end of the process.
+    driver.end_all();
+    server.wind_down(Instant::now() + FAREWELL).await;
     Ok(())
 }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -49,22 +49,56 @@
         }
     }
 
-    /// Hands on what arrives from nodes of the tier; strangers are not heard.
+    /// Hands on what arrives.
     pub async fn listen(&self, driver: &Rc<Driver>) {
+        loop {
+            let (from, bytes) = self.receive().await;
+            driver.take(Input::Message(from, bytes));
+        }
+    }
+
+    /// The next message of a node of the tier; strangers and overlong datagrams are not heard.
+    async fn receive(&self) -> (u32, Vec<u8>) {
         let mut buffer = [0_u8; LONGEST + 1];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, sender)) => {
-                    let from = self.nodes.iter().zip(0_u32..).find(|(address, _)| **address == sender);
-                    if let (Some((_, from)), Some(bytes)) = (from, buffer.get(..length))
-                        && length <= LONGEST
-                    {
-                        driver.take(Input::Message(from, bytes.to_vec()));
-                    }
-                }
-                // Such as a peer that is down: it says so of an earlier send.
-                Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+                // Such as a peer that is down: the system says so of an earlier send.
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                continue;
+            };
+            let from = self.nodes.iter().zip(0_u32..).find(|(address, _)| **address == sender);
+            if let (Some((_, from)), Some(bytes)) = (from, buffer.get(..length))
+                && length <= LONGEST
+            {
+                return (from, bytes.to_vec());
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The decisions send no messages yet, so the way out is tried here rather than on the whole node.
+    #[tokio::test]
+    async fn messages_go_both_ways_and_strangers_are_not_heard() -> std::io::Result<()> {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let mut a = Peers::new(any, Vec::new(), None, 0).await?;
+        let mut b = Peers::new(any, Vec::new(), None, 1).await?;
+        let stranger = UdpSocket::bind(any).await?;
+        let nodes = vec![a.socket.local_addr()?, b.socket.local_addr()?];
+        (a.nodes, b.nodes) = (nodes.clone(), nodes.clone());
+        stranger.send_to(b"not of the tier", nodes[1]).await?;
+        a.send(Some(1), &[7; LONGEST + 1]);
+        a.send(Some(9), b"nobody");
+        a.send(None, b"to all others");
+        b.send(Some(0), b"back");
+        let heard =
+            tokio::time::timeout(Duration::from_secs(5), async { (b.receive().await, a.receive().await) });
+        let (at_b, at_a) = heard.await?;
+        assert_eq!(at_b, (0, b"to all others".to_vec()));
+        assert_eq!(at_a, (1, b"back".to_vec()));
+        Ok(())
+    }
+}
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -2,7 +2,7 @@
 
 use crate::driver::{Answer, Driver};
 use crate::log;
-use crate::socket::{Descriptors, Socket};
+use crate::socket::{Descriptors, Slot, Socket};
 use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::{Names, stable_hash};
@@ -35,7 +35,7 @@
 /// A client's wait beyond this is not believed.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A head that takes longer is not coming.
-const HEAD_LIMIT: Duration = Duration::from_secs(60);
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -196,7 +196,7 @@
         self.stop.notify_one();
     }
 
-    fn serve(self: &Rc<Self>, stream: TcpStream, slot: crate::socket::Slot) {
+    fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
@@ -250,8 +250,9 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let arrived = Instant::now();
-        let mut response = match request.uri().path() {
-            "/api" => match self.read(arrived, request).await {
+        let path = request.uri().path();
+        let mut response = match path {
+            _ if path == "/api" || path.starts_with("/api/") => match self.read(arrived, request).await {
                 Ok(asked) => answer(self.ask(asked).await),
                 Err(refused) => refused,
             },
@@ -269,7 +270,7 @@
     }
 
     async fn ask(&self, Reading { asked, call, deadline, expires }: Reading) -> Answer {
-        if self.driver.owed() >= self.open_cap {
+        if self.driver.open() >= self.open_cap {
             return Answer::Refused { retry_after_ms: 0.0 };
         }
         self.driver.submit(asked, call, deadline, expires).answer().await
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -69,11 +69,13 @@
     }
 }
 
+type Driven = Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>;
+
 /// A connection whose reading and writing happen only while somebody exchanges on it: nothing is left
 /// running behind an idle one, and dropping it closes the socket at once.
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
-    connection: Option<Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>>,
+    connection: Option<Driven>,
     socket: Socket,
 }
 
@@ -86,10 +88,7 @@
     }
 
     /// Runs `wanted` together with the connection's own reading and writing.
-    async fn drive<F: Future>(
-        connection: &mut Option<Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>>,
-        wanted: F,
-    ) -> F::Output {
+    async fn drive<F: Future>(connection: &mut Option<Driven>, wanted: F) -> F::Output {
         let mut wanted = pin!(wanted);
         poll_fn(|cx| {
             if let Poll::Ready(value) = wanted.as_mut().poll(cx) {
--- /dev/null
+++ b/tests/node_requests.rs
@@ -0,0 +1,180 @@
+//! One request and its one answer: what is passed on, and what each end of an attempt leads to by class.
+mod node;
+
+use node::*;
+use std::time::{Duration, Instant};
+
+#[test]
+fn an_answer_is_passed_on_byte_for_byte() {
+    let record = Record::default();
+    let body: Vec<u8> = (0..=255_u8).cycle().take(60_000).collect();
+    let sent = body.clone();
+    let addresses = backends(1, &record, move |_, _| ok(&sent));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let request = b"POST /api?lot=7&x=%20y HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\n\
+        X-Qos: pay\r\nX-Expires-In-Ms: 2000\r\nIdempotency-Key: 5c0f\r\nContent-Length: 6\r\n\r\n\x00\xff\r\n\r\n";
+    let mut client = Client::connect(node.address);
+    for _ in 0..3 {
+        let answer = client.ask(request);
+        assert_eq!(answer.status(), 200);
+        assert!(answer.body == body, "the body changed on its way");
+    }
+    let seen = record.seen.lock().unwrap();
+    assert_eq!(seen[0].first_line, "POST /api?lot=7&x=%20y HTTP/1.1");
+    assert_eq!(seen[0].body, b"\x00\xff\r\n\r\n");
+    assert_eq!(seen[0].header("x-trace-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen[0].header("idempotency-key"), Some("5c0f"));
+    let wait: u64 = seen[0].header("x-expires-in-ms").unwrap().parse().unwrap();
+    assert!((1..2000).contains(&wait), "the backend is told to wait {wait} ms");
+    assert_eq!(record.open_now(), 1, "one connection serves one request after the other");
+}
+
+/// Plays one request whose first attempt ends by `first`; any further one would be served.
+/// Gives the client's status and how many attempts were written.
+fn play(class: &str, first: Act) -> (u16, usize) {
+    let record = Record::default();
+    let addresses = backends(3, &record, move |n, _| if n == 0 { first.clone() } else { ok(b"second") });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let answer = ask(node.address, &request(class, 900));
+    if answer.status() == 200 {
+        assert_eq!(answer.body, b"second");
+    }
+    (answer.status(), record.count())
+}
+
+fn ends_that_may_have_run() -> Vec<(&'static str, Act)> {
+    vec![
+        ("500", Act::Say(reply("500 Internal Server Error", "", b""))),
+        ("500 that claims it never ran", Act::Say(reply("500 No", "X-Never-Ran: 1\r\n", b""))),
+        ("503 without proof", Act::Say(reply("503 Service Unavailable", "", b""))),
+        ("404", Act::Say(reply("404 Not Found", "X-Never-Ran: 1\r\n", b""))),
+        ("cut before the answer", Act::SayAndClose(Vec::new())),
+        ("cut in the head", Act::SayAndClose(b"HTTP/1.1 200 O".to_vec())),
+        (
+            "cut in the body",
+            Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".to_vec()),
+        ),
+        ("no HTTP", Act::SayAndClose(b"what?\r\n\r\n".to_vec())),
+        ("a body over the limit", Act::Say(reply("200 OK", "", &vec![b'x'; 70_000]))),
+    ]
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_and_never_sent_twice() {
+    for (what, act) in ends_that_may_have_run() {
+        let (status, attempts) = play("bid", act);
+        assert_eq!((status, attempts), (502, 1), "{what}");
+    }
+}
+
+#[test]
+fn a_safe_or_keyed_request_that_may_have_run_is_sent_again() {
+    for (what, act) in ends_that_may_have_run() {
+        for class in ["page", "pay"] {
+            assert_eq!(play(class, act.clone()), (200, 2), "{what}, {class}");
+        }
+    }
+}
+
+#[test]
+fn what_proves_that_it_never_ran_lets_every_class_go_on() {
+    for status in ["503 Service Unavailable", "504 Gateway Timeout"] {
+        for class in ["page", "bid", "pay"] {
+            let act = Act::Say(reply(status, "X-Never-Ran: 1\r\n", b""));
+            assert_eq!(play(class, act), (200, 2), "{status}, {class}");
+        }
+    }
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let record = Record::default();
+    let mut addresses = backends(2, &record, |_, _| ok(b"live"));
+    addresses.push(free_address());
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    for n in 0..12 {
+        assert_eq!(ask(node.address, &request("bid", 900)).status(), 200, "request {n}");
+    }
+    assert_eq!(record.count(), 12);
+}
+
+#[test]
+fn a_silent_backend_costs_an_unsafe_request_its_time_and_no_second_attempt() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| Act::Silent);
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let begun = Instant::now();
+    let answer = ask(node.address, &request("bid", 300));
+    assert_eq!(answer.status(), 502);
+    assert!(begun.elapsed() < Duration::from_millis(300), "the client has gone by then");
+    assert_eq!(record.count(), 1);
+    wait_for("the attempt's connection closes", || record.open_now() == 0);
+}
+
+#[test]
+fn a_late_answer_reaches_nobody() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |n, _| {
+        std::thread::sleep(Duration::from_millis(if n == 0 { 400 } else { 0 }));
+        ok(format!("answer {n}").as_bytes())
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    assert_eq!(client.ask(&request("bid", 200)).status(), 502);
+    let next = client.ask(&request("page", 2000));
+    assert_eq!((next.status(), next.body), (200, b"answer 1".to_vec()));
+}
+
+#[test]
+fn a_stale_connection_is_not_sent_on() {
+    // The backend closes after each answer without saying so.
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| Act::SayAndClose(reply("200 OK", "", b"bye")));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    for n in 1..=5 {
+        assert_eq!(client.ask(&request("bid", 900)).status(), 200);
+        wait_for("the backend closes", || record.closed.load(std::sync::atomic::Ordering::SeqCst) == n);
+    }
+}
+
+#[test]
+fn nothing_usable_is_refused_at_once_with_a_time_to_come_back() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b""));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    discovery.set(vec![target("s-0", addresses[0], "draining")]);
+    wait_for("the drain is known", || node.up() == 503);
+    for class in ["page", "bid", "pay", "unheard-of"] {
+        let begun = Instant::now();
+        let answer = ask(node.address, &request(class, 900));
+        assert_eq!(answer.status(), 503, "{class}");
+        let wait: f64 = answer.header("retry-after").expect("Retry-After").parse().unwrap();
+        assert!(wait > 0.0 && wait <= 2.0, "{wait} s");
+        assert!(begun.elapsed() < Duration::from_millis(450), "held back");
+    }
+    assert_eq!(record.count(), 0);
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| Act::Silent);
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&request("page", 4000)));
+    wait_for("the attempt is out", || record.count() == 1);
+    drop(client);
+    let begun = Instant::now();
+    wait_for("the attempt's connection closes", || record.open_now() == 0);
+    assert!(begun.elapsed() < Duration::from_millis(900), "only its time-out ended it");
+    assert_eq!(record.count(), 1);
+}
