--- /dev/null
+++ b/tests/node_clients.rs
@@ -0,0 +1,125 @@
+//! What clients get wrong, and what the node itself runs out of: told so, and never a crash.
+mod node;
+
+use node::*;
+use serde_json::Value;
+use std::time::Duration;
+
+type Change = fn(&mut Value);
+
+#[test]
+fn malformed_input_is_answered_without_a_backend() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b""));
+    let discovery = Discovery::start(all_up(&addresses));
+    let mut node = Node::start(discovery.address, |_| {});
+    let head = "Host: n\r\nX-Trace-Id: 1\r\n";
+    let large = format!("POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nContent-Length: 65537\r\n\r\n");
+    let chunk = "10000\r\n".to_owned() + &"x".repeat(0x10000) + "\r\n1\r\nx\r\n0\r\n\r\n";
+    let chunked =
+        format!("POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    let cases: Vec<(u16, String)> = vec![
+        (400, "nonsense\r\n\r\n".to_owned()),
+        (400, "\x00\x01\x02\r\n\r\n".to_owned()),
+        (400, "GET /api HTTP/1.1\r\nHost: n\r\nContent-Length: many\r\n\r\n".to_owned()),
+        (400, "GET /api HTTP/1.1\r\nHost: n\r\nX-Qos: page\r\n\r\n".to_owned()),
+        (400, format!("POST /api HTTP/1.1\r\n{head}X-Qos: page\r\nContent-Length: 0\r\n\r\n")),
+        (400, format!("GET /api HTTP/1.1\r\n{head}X-Qos: bid\r\n\r\n")),
+        (
+            400,
+            format!(
+                "POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"
+            ),
+        ),
+        (400, format!("POST /api HTTP/1.1\r\n{head}X-Qos: pay\r\nContent-Length: 0\r\n\r\n")),
+        (400, format!("DELETE /api HTTP/1.1\r\n{head}X-Qos: other\r\n\r\n")),
+        (404, format!("GET /apical HTTP/1.1\r\n{head}X-Qos: page\r\n\r\n")),
+        (404, format!("POST / HTTP/1.1\r\n{head}X-Qos: bid\r\nContent-Length: 0\r\n\r\n")),
+        (413, large),
+        (413, chunked),
+    ];
+    for (status, bytes) in cases {
+        let got = attempt(node.address, bytes.as_bytes()).map(|m| m.status());
+        assert_eq!(got, Some(status), "{:?}", bytes.get(..100.min(bytes.len())));
+    }
+    // Half a request and a silent leave.
+    drop(Client::connect(node.address));
+    let mut half = Client::connect(node.address);
+    half.send(b"POST /api HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: bid\r\nContent-Length: 10\r\n\r\nabc");
+    drop(half);
+    assert_eq!(record.count(), 0);
+    // A bad wait is no reason to turn a request away: the class's holds.
+    let bad_wait = format!("GET /api HTTP/1.1\r\n{head}X-Qos: page\r\nX-Expires-In-Ms: soon\r\n\r\n");
+    assert_eq!(ask(node.address, bad_wait.as_bytes()).status(), 200);
+    let wait: u64 = record.seen.lock().unwrap()[0].header("x-expires-in-ms").unwrap().parse().unwrap();
+    assert!(wait <= 4000, "{wait}");
+    assert!(node.running());
+}
+
+#[test]
+fn a_class_nobody_knows_is_never_sent_twice() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| Act::SayAndClose(Vec::new()));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    assert_eq!(ask(node.address, &request("unheard-of", 900)).status(), 502);
+    assert_eq!(record.count(), 1);
+}
+
+#[test]
+fn under_pressure_idle_clients_make_room_and_nobody_waits_in_vain() {
+    let record = Record::default();
+    let addresses = backends(4, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 64.into());
+    // Three times as many connections as the limit, all kept by their clients.
+    let mut clients = Vec::new();
+    for n in 0..200 {
+        let mut client = Client::connect(node.address);
+        assert_eq!(client.ask(&request("bid", 900)).status(), 200, "client {n}");
+        assert!(node.descriptors() <= 64, "{} descriptors", node.descriptors());
+        clients.push(client);
+    }
+    assert_eq!(record.count(), 200);
+}
+
+#[test]
+fn a_system_limit_below_the_told_one_neither_ends_the_node_nor_spins() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let mut node = Node::launch(discovery.address, |_| {}, "ulimit -n 24; exec \"$0\"");
+    wait_for("/up is 200", || node.up() == 200);
+    // These send half a request, so that none of them is idle and none can be closed for another.
+    let mut held: Vec<Client> = (0..40).map(|_| Client::connect(node.address)).collect();
+    for client in &mut held {
+        client.send(b"GET /api HT");
+    }
+    wait_for("the node is at the limit", || node.descriptors() >= 24);
+    let before = node.cpu_ticks();
+    std::thread::sleep(Duration::from_millis(500));
+    let used = node.cpu_ticks() - before;
+    assert!(used < 20, "{used} of 50 ticks used while nothing can be done");
+    assert!(node.running());
+    drop(held);
+    wait_for("it serves again", || {
+        attempt(node.address, &request("page", 900)).is_some_and(|m| m.status() == 200)
+    });
+}
+
+#[test]
+fn a_wrong_setting_is_named_and_ends_the_start() {
+    let cases: [(&str, Change); 5] = [
+        ("listen", |c| c["listen"] = "nowhere".into()),
+        ("peers[1]", |c| c["peers"] = serde_json::json!(["127.0.0.1:1", 7])),
+        ("limits.sockets", |c| c["limits"]["sockets"] = "many".into()),
+        ("rules.coldMs", |c| c["settings"]["rules"]["coldMs"] = "long".into()),
+        ("classes", |c| c["settings"]["classes"] = serde_json::json!([])),
+    ];
+    for (field, change) in cases {
+        let mut node = Node::launch(free_address(), change, "exec \"$0\"");
+        assert!(!node.ended().success(), "{field}");
+        let log = node.log();
+        assert!(log.contains(field), "{field} is not named: {log}");
+    }
+}
