Read what is turned away before answering it

Cause: an answer 400, 404 or 413 was written with the request's body unread (server.rs, respond and read); closing then resets the connection, and a client still sending never sees the answer, which counts as a lost request. Seen with a probe: a client that sends 600 kB was cut before it had sent all. Ruled out: hyper's own drain, which reads a little and gives up. Now the body is read first, up to 4 MiB and for a bounded time, and not kept. The test fails without it.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -6,13 +6,14 @@
 use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::{Names, stable_hash};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -36,6 +37,12 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A head that takes longer is not coming.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Time for the body of a request that is wrong anyhow.
+const BODY_TIME: Duration = Duration::from_secs(2);
+/// And of one that announces itself as too long, which its client may be holding back.
+const LONG_BODY_TIME: Duration = Duration::from_millis(500);
+/// How far a body that is too long is read.
+const READ_ON: usize = 4 * 1024 * 1024;
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -250,18 +257,20 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let arrived = Instant::now();
-        let path = request.uri().path();
-        let mut response = match path {
-            _ if path == "/api" || path.starts_with("/api/") => match self.read(arrived, request).await {
-                Ok(asked) => answer(self.ask(asked).await),
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        let mut response = if path == "/api" || path.starts_with("/api/") {
+            match self.read(arrived, head, body).await {
+                Ok(reading) => answer(self.ask(reading).await),
                 Err(refused) => refused,
-            },
-            "/up" if matches!(*request.method(), Method::GET | Method::HEAD) => {
-                let ready = self.driver.ready() && self.stopping.get().is_none();
-                plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-            _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        } else if path != "/up" {
+            self.turn_away(arrived, body, StatusCode::NOT_FOUND, "no such path\n").await
+        } else if matches!(head.method, Method::GET | Method::HEAD) {
+            let ready = self.driver.ready() && self.stopping.get().is_none();
+            plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+        } else {
+            self.turn_away(arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
         if self.stopping.get().is_some() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -269,6 +278,22 @@
         response
     }
 
+    /// Answers a request that is wrong, once its body is read: a socket closed with unread bytes resets,
+    /// and the answer under way would be lost.
+    async fn turn_away(
+        &self,
+        arrived: Instant,
+        body: Incoming,
+        status: StatusCode,
+        text: &'static str,
+    ) -> Response<Full<Bytes>> {
+        match collect(body, arrived + BODY_TIME).await {
+            Ok(_) => plain(status, text),
+            Err(BodyError::Long) => farewell(status, text),
+            Err(BodyError::Cut | BodyError::Late) => farewell(StatusCode::BAD_REQUEST, text),
+        }
+    }
+
     async fn ask(&self, Reading { asked, call, deadline, expires }: Reading) -> Answer {
         if self.driver.open() >= self.open_cap {
             return Answer::Refused { retry_after_ms: 0.0 };
@@ -280,13 +305,13 @@
     async fn read(
         &self,
         arrived: Instant,
-        request: Request<Incoming>,
+        head: Parts,
+        body: Incoming,
     ) -> Result<Reading, Response<Full<Bytes>>> {
-        let (head, body) = request.into_parts();
-        let bad = |text: &'static str| farewell(StatusCode::BAD_REQUEST, text);
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         if header("x-trace-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Trace-Id is missing\n"));
+            let text = "X-Trace-Id is missing\n";
+            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
         let class = self.names.class(header("x-qos").unwrap_or_default());
         let known = self.classes.get(class);
@@ -300,10 +325,8 @@
             None => matches!(head.method, Method::GET | Method::POST),
         };
         if !agrees {
-            return Err(bad("method and Idempotency-Key do not agree with the class\n"));
-        }
-        if body.size_hint().lower() > BODY_LIMIT as u64 {
-            return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+            let text = "method and Idempotency-Key do not agree with the class\n";
+            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
         let shortest = || self.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
         let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
@@ -312,15 +335,11 @@
             .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
             .min(LONGEST_WAIT);
         let expires = arrived + wait.saturating_sub(LAST_MARGIN);
-        let read = tokio::time::timeout_at(expires.into(), Limited::new(body, BODY_LIMIT).collect()).await;
-        let body = match read {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
-            }
-            Ok(Err(_)) => return Err(bad("the body cannot be read\n")),
-            Err(_) => return Err(farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
-        };
+        let body = collect(body, expires).await.map_err(|e| match e {
+            BodyError::Long => farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
+            BodyError::Cut => farewell(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
+            BodyError::Late => farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+        })?;
         let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
         let asked = Asked {
             id: RequestId(0),
@@ -345,6 +364,40 @@
     expires: Instant,
 }
 
+/// Why there is no body.
+enum BodyError {
+    Long,
+    Cut,
+    Late,
+}
+
+/// A whole body. One that is too long is read on for a while without being kept, so that its client is
+/// done sending when the answer comes.
+async fn collect(mut body: Incoming, until: Instant) -> Result<Bytes, BodyError> {
+    let mut kept = BytesMut::new();
+    let mut length = 0;
+    let announced = body.size_hint().lower() > BODY_LIMIT as u64;
+    let until = if announced { until.min(Instant::now() + LONG_BODY_TIME) } else { until };
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| BodyError::Cut)?.into_data() else { continue };
+            length += data.len();
+            if length <= BODY_LIMIT {
+                kept.extend_from_slice(&data);
+            } else if length > READ_ON {
+                break;
+            }
+        }
+        Ok(())
+    };
+    let read = tokio::time::timeout_at(until.into(), read).await;
+    match read {
+        _ if announced || length > BODY_LIMIT => Err(BodyError::Long),
+        Ok(whole) => whole.map(|()| kept.freeze()),
+        Err(_) => Err(BodyError::Late),
+    }
+}
+
 /// The headers that go on to a backend.
 fn onward(mut headers: HeaderMap) -> HeaderMap {
     for name in OWN_HEADERS {
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -56,6 +56,35 @@
     assert!(node.running());
 }
 
+#[test]
+fn what_is_turned_away_is_read_first_so_that_the_answer_arrives() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b""));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    // A socket closed with unread bytes resets, and takes the answer that was under way along.
+    let cases = [
+        (413, "/api", "X-Trace-Id: 1\r\nX-Qos: bid\r\n", 600_000),
+        (404, "/other", "", 60_000),
+        (400, "/api", "X-Qos: bid\r\n", 60_000),
+        (400, "/api", "X-Trace-Id: 1\r\nX-Qos: page\r\n", 60_000),
+    ];
+    for (status, path, headers, length) in cases {
+        for _ in 0..20 {
+            let mut client = Client::connect(node.address);
+            let head =
+                format!("POST {path} HTTP/1.1\r\nHost: n\r\n{headers}Content-Length: {length}\r\n\r\n");
+            assert!(client.send(head.as_bytes()));
+            for part in vec![b'x'; length].chunks(30_000) {
+                assert!(client.send(part), "{status}: closed before the body was read");
+                std::thread::sleep(Duration::from_micros(300));
+            }
+            assert_eq!(client.answer().map(|m| m.status()), Some(status));
+        }
+    }
+    assert_eq!(record.count(), 0);
+}
+
 #[test]
 fn a_class_nobody_knows_is_never_sent_twice() {
     let record = Record::default();
