Keep the node's own want of descriptors from being blamed on backends

Cause: with all descriptors held by busy clients, an attempt waited its connect limit for one and was reported NotConnected (upstream.rs, connection); the module then held every backend for congested. Seen in the log of a probe with 40 busy clients on 44 descriptors: 'congested ... 2 failures of 2', 'connections are scarce'. Ruled out: the backends, which had free slots throughout. Now such an attempt is Skipped, which says nothing of the backend, EMFILE at connect too, and the last eighth of the count is kept for attempts. The same probe showed a second loss: a client that had just connected was closed as idle while its request was on the way (server.rs, Client::idle). A connection that has carried nothing is now idle only after 0.5 s. The test fails without either.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -43,6 +43,8 @@
 const LONG_BODY_TIME: Duration = Duration::from_millis(500);
 /// How far a body that is too long is read.
 const READ_ON: usize = 4 * 1024 * 1024;
+/// A connection this young has its first request under way.
+const FRESH: Duration = Duration::from_millis(500);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -71,9 +73,10 @@
 }
 
 impl Client {
-    /// Nothing asked, nothing being read, nothing waiting to be read.
+    /// Nothing asked, nothing being read, nothing waiting to be read. Who has just connected is about to ask.
     fn idle(&self) -> bool {
-        !self.busy.get() && self.socket.read() == self.read.get() && self.socket.quiet()
+        let fresh = self.socket.read() == 0 && self.idle_since.get().elapsed() < FRESH;
+        !fresh && !self.busy.get() && self.socket.read() == self.read.get() && self.socket.quiet()
     }
 }
 
@@ -174,7 +177,7 @@
                 Ok((stream, _)) => {
                     last = Instant::now();
                     // Under pressure this waits for a place: others wait in the backlog and are taken then.
-                    let slot = self.descriptors.take().await;
+                    let slot = self.descriptors.take_for_client().await;
                     self.serve(stream, slot);
                 }
                 Err(e) => {
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -48,8 +48,18 @@
 
     /// Waits for a place: under pressure something idle is closed for it.
     pub async fn take(self: &Rc<Self>) -> Slot {
+        self.take_below(self.limit).await
+    }
+
+    /// The same for a new client, to whom the last eighth is closed: an attempt for one that is there is
+    /// better than one client more.
+    pub async fn take_for_client(self: &Rc<Self>) -> Slot {
+        self.take_below(self.limit - self.limit / 8).await
+    }
+
+    async fn take_below(self: &Rc<Self>, limit: usize) -> Slot {
         loop {
-            if self.used.get() < self.limit {
+            if self.used.get() < limit {
                 self.used.set(self.used.get() + 1);
                 return Slot(self.clone());
             }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -13,6 +13,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -154,6 +155,11 @@
     idle_limit: Duration,
 }
 
+/// The process or the whole machine has no descriptor left (EMFILE, ENFILE).
+fn out_of_descriptors(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(23 | 24))
+}
+
 fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64((ms.clamp(0.0, 86_400_000.0)) / 1000.0)
 }
@@ -213,20 +219,36 @@
     }
 
     /// A connection to the backend, by `until` at the latest.
-    async fn connection(&self, backend: BackendId, address: SocketAddr, until: Instant) -> Option<Conn> {
+    ///
+    /// Where this node itself has no descriptor for one, the attempt is not made: `NotConnected` would
+    /// blame the backends, and all of them would be held for dead.
+    async fn connection(
+        &self,
+        backend: BackendId,
+        address: SocketAddr,
+        until: Instant,
+    ) -> Result<Conn, Outcome> {
         if let Some(conn) = self.take_idle(backend) {
-            return Some(conn);
+            return Ok(conn);
+        }
+        let limit = || self.connect_limit.min(until.saturating_duration_since(Instant::now()));
+        let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
+        let slot = slot.map_err(|_| Outcome::Skipped)?;
+        match tokio::time::timeout(limit(), Conn::open(address, slot)).await {
+            Ok(Ok(conn)) => Ok(conn),
+            Ok(Err(e)) if e.downcast_ref::<io::Error>().is_some_and(out_of_descriptors) => {
+                Err(Outcome::Skipped)
+            }
+            _ => Err(Outcome::NotConnected),
         }
-        let limit = self.connect_limit.min(until.saturating_duration_since(Instant::now()));
-        let opened = async { Conn::open(address, self.descriptors.take().await).await };
-        tokio::time::timeout(limit, opened).await.ok()?.ok()
     }
 
     /// Sends one attempt and waits for its end. `wanted` says whether request and backend still stand.
     /// A connection that may be kept comes back.
     pub async fn attempt(&self, errand: &Errand, wanted: impl Fn() -> bool) -> (Finish, Option<Conn>) {
-        let Some(mut conn) = self.connection(errand.backend, errand.address, errand.until).await else {
-            return (Outcome::NotConnected.into(), None);
+        let mut conn = match self.connection(errand.backend, errand.address, errand.until).await {
+            Ok(conn) => conn,
+            Err(outcome) => return (outcome.into(), None),
         };
         // The handshake took time: a drain told meanwhile holds for this send too.
         if !wanted() {
@@ -256,8 +278,9 @@
         path: &'static str,
     ) -> (Finish, Option<Conn>) {
         let until = Instant::now() + PROBE_LIMIT;
-        let Some(mut conn) = self.connection(backend, address, until).await else {
-            return (Outcome::NotConnected.into(), None);
+        let mut conn = match self.connection(backend, address, until).await {
+            Ok(conn) => conn,
+            Err(outcome) => return (outcome.into(), None),
         };
         let call = Call {
             method: Method::GET,
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -112,6 +112,30 @@
     assert_eq!(record.count(), 200);
 }
 
+#[test]
+fn the_nodes_own_want_of_descriptors_is_not_blamed_on_backends() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| {
+        std::thread::sleep(Duration::from_millis(600));
+        ok(b"x")
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let mut node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 44.into());
+    // More busy clients than descriptors: the node has none left for their attempts.
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(node.address)).collect();
+    for client in &mut clients {
+        client.send(&request("page", 3500));
+    }
+    let statuses: Vec<u16> = clients.iter_mut().map(|c| c.answer().expect("no answer").status()).collect();
+    assert!(statuses.contains(&200), "{statuses:?}");
+    assert!(statuses.iter().all(|s| matches!(s, 200 | 503)), "{statuses:?}");
+    drop(clients);
+    node.terminate();
+    assert!(node.ended().success());
+    let log = node.log();
+    assert!(!log.contains("congested") && !log.contains("scarce"), "{log}");
+}
+
 #[test]
 fn a_system_limit_below_the_told_one_neither_ends_the_node_nor_spins() {
     let record = Record::default();
