Close the other connections to a backend after a reset

Cause: a machine that was cut off and came back resets each old connection only when something is sent on it; the node went on with the next idle one (upstream.rs, attempt and probe), so that every idle connection cost one unsafe request. Probe: two idle connections to a backend that serves new ones only: two 502 in a row, one expected. Ruled out: the look at the socket before a send, which sees a close that has arrived, not one that is still to come. Now a reset, or a probe without an answer, closes the idle ones. The test fails without it. It costs a handshake for each such connection.

--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -179,6 +179,10 @@
     }
 
     /// Closes the connections to a backend that carry nothing.
+    ///
+    /// Not only for the decisions: a backend that broke a connection, or does not answer a probe, may have
+    /// been away. What was open to it before is reset as soon as something is sent on it, and an unsafe
+    /// request would be lost.
     pub fn release(&self, backend: BackendId) {
         let closed = self.idle.borrow_mut().remove(&backend);
         drop(closed);
@@ -265,7 +269,10 @@
             Err(_) => return (Outcome::TimedOut.into(), None),
             // Served in part or past the limit is no answer; what was written may have run.
             Ok(Err(e)) if e.is::<LengthLimitError>() => return (Outcome::Error.into(), None),
-            Ok(Err(_)) => return (Outcome::Reset.into(), None),
+            Ok(Err(_)) => {
+                self.release(errand.backend);
+                return (Outcome::Reset.into(), None);
+            }
         };
         (finish, Some(conn))
     }
@@ -291,8 +298,14 @@
         let left = until.saturating_duration_since(Instant::now());
         let request = call.request(address, left);
         match tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT)).await {
-            Err(_) => (Outcome::TimedOut.into(), None),
-            Ok(Err(_)) => (Outcome::Reset.into(), None),
+            Err(_) => {
+                self.release(backend);
+                (Outcome::TimedOut.into(), None)
+            }
+            Ok(Err(_)) => {
+                self.release(backend);
+                (Outcome::Reset.into(), None)
+            }
             Ok(Ok(answer)) => {
                 let text = String::from_utf8_lossy(answer.body()).into_owned();
                 let mut end = finish(answer);
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -189,6 +189,7 @@
     rev: u64,
     targets: Vec<Value>,
     silent: bool,
+    hasty: bool,
     calls: u32,
 }
 
@@ -227,7 +228,7 @@
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().unwrap();
             state.calls += 1;
-            while state.silent || (state.rev <= after && Instant::now() < end) {
+            while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
             let fresh = state.rev > after;
@@ -252,6 +253,11 @@
         self.state.1.notify_all();
     }
 
+    /// Answers watches at once, news or not.
+    pub fn hasty(&self, hasty: bool) {
+        self.state.0.lock().unwrap().hasty = hasty;
+    }
+
     /// Calls that were made so far.
     pub fn calls(&self) -> u32 {
         self.state.0.lock().unwrap().calls
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -93,6 +93,36 @@
     wait_for("the connection is closed", || record.open_now() == 0);
 }
 
+#[test]
+fn one_reset_clears_the_other_connections_of_the_same_backend() {
+    // A machine that was cut off resets old connections only when something is sent on them.
+    let record = Record::default();
+    let back = Arc::new(AtomicBool::new(false));
+    let script_back = back.clone();
+    let opened = record.opened.clone();
+    let addresses = backends(1, &record, move |_, _| {
+        if !script_back.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(100));
+            return ok(b"x");
+        }
+        // Whatever was opened before it came back is cut; only new connections are served.
+        if opened.load(Ordering::SeqCst) == 2 { Act::SayAndClose(Vec::new()) } else { ok(b"x") }
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut clients: Vec<Client> = (0..2).map(|_| Client::connect(node.address)).collect();
+    for client in &mut clients {
+        assert!(client.send(&request("bid", 900)));
+    }
+    for client in &mut clients {
+        assert_eq!(client.answer().unwrap().status(), 200);
+    }
+    assert_eq!(record.open_now(), 2, "two connections stand idle");
+    back.store(true, Ordering::SeqCst);
+    assert_eq!(clients[0].ask(&request("bid", 900)).status(), 502, "cut, and it may have run");
+    assert_eq!(clients[0].ask(&request("bid", 900)).status(), 200, "sent on the other stale connection");
+}
+
 #[test]
 fn datagrams_of_any_kind_do_no_harm() {
     let record = Record::default();
