Pause when a watch does not wait, and ask for the whole list after a failure

Cause: an answer without news that comes at once was followed by the next call at once (discovery.rs, run): a probe with a discovery that ignores wait_ms counted 10,241 calls in a second, all of it taken from the loop that serves requests. Now the next call waits 150 ms, still within the 200 ms in which a watch goes on. After a failed call the version may be of another count, so pushed lists, which cost nothing, are asked for whole. The test fails without the pause.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -14,7 +14,7 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
@@ -25,8 +25,10 @@
 const SLACK: Duration = Duration::from_millis(1_500);
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
-/// Pause after a failed call where nobody paces the calls.
+/// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
+/// A watch without news that took less than this has not waited.
+const HASTY: Duration = Duration::from_millis(50);
 
 /// An answer of discovery, or the list that a node starts with.
 pub struct Listing {
@@ -115,8 +117,11 @@
                 wanted = wish;
                 continue;
             }
+            let begun = Instant::now();
             match self.call(&mut conn, rev).await {
                 Ok(listing) => {
+                    // A watch that did not wait and brought nothing must not make this loop spin.
+                    let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
                     // A version below ours is another count: only the whole list says what holds.
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
@@ -128,7 +133,7 @@
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
                         driver.take(Input::List(kind, listing.targets));
                     }
-                    if lost {
+                    if lost || idle {
                         tokio::time::sleep(PAUSE).await;
                     }
                 }
@@ -143,6 +148,8 @@
                         wanted = false;
                         driver.take(Input::List(ListKind::Failed, Vec::new()));
                     } else {
+                        // Whoever answers next may count anew, and here the whole list costs nothing.
+                        rev = None;
                         tokio::time::sleep(PAUSE).await;
                     }
                 }
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -123,6 +123,20 @@
     assert_eq!(clients[0].ask(&request("bid", 900)).status(), 200, "sent on the other stale connection");
 }
 
+#[test]
+fn a_discovery_that_does_not_wait_is_not_asked_without_end() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    discovery.hasty(true);
+    let _node = Node::start(discovery.address, |_| {});
+    let calls = discovery.calls();
+    thread::sleep(Duration::from_millis(1000));
+    let calls = discovery.calls() - calls;
+    // 200 ms is the longest pause after which a watch goes on.
+    assert!((5..50).contains(&calls), "{calls} calls in a second");
+}
+
 #[test]
 fn datagrams_of_any_kind_do_no_harm() {
     let record = Record::default();
