Bound the time in which new connections are taken after SIGTERM

Cause: the accept loop ended only once no connection had come for 150 ms (server.rs, accept); a client that keeps connecting kept the node until SIGKILL. Probe: one connection every 20 ms, the node was still there after 10 s. Now it ends 1.5 s after SIGTERM at the latest. The test fails without it.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -49,6 +49,8 @@
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
 const QUIET: Duration = Duration::from_millis(150);
+/// But so long at most: SIGKILL would find unanswered what is taken later.
+const ACCEPT_END: Duration = Duration::from_millis(1500);
 
 /// Headers that concern one connection only, or that are made anew.
 const OWN_HEADERS: [HeaderName; 8] = [
@@ -161,7 +163,8 @@
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
         let mut last = Instant::now();
         loop {
-            let quiet_at = self.stopping.get().map(|at| (at + ACCEPT_ON).max(last + QUIET));
+            let quiet_at =
+                self.stopping.get().map(|at| (at + ACCEPT_ON).max(last + QUIET).min(at + ACCEPT_END));
             let quiet = async {
                 match quiet_at {
                     Some(at) => tokio::time::sleep_until(at.into()).await,
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -137,6 +137,29 @@
     assert!((5..50).contains(&calls), "{calls} calls in a second");
 }
 
+#[test]
+fn after_sigterm_an_endless_run_of_connections_does_not_keep_the_node() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let mut node = Node::start(discovery.address, |_| {});
+    let address = node.address;
+    let over = Arc::new(AtomicBool::new(false));
+    let told = over.clone();
+    let stream = thread::spawn(move || {
+        while !told.load(Ordering::SeqCst) {
+            drop(Client::try_connect(address));
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    node.terminate();
+    let begun = Instant::now();
+    let status = node.ended();
+    over.store(true, Ordering::SeqCst);
+    stream.join().unwrap();
+    assert!(status.success() && begun.elapsed() < Duration::from_millis(3700), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn datagrams_of_any_kind_do_no_harm() {
     let record = Record::default();
