Let no half-sent requests shut other clients out

Cause: a client that has begun a request and does not go on is neither idle nor done, so under pressure nothing could be closed for those in the backlog (server.rs, close_longest_idle). Probe: 100 such clients on 44 descriptors, and a whole request got no answer within 10 s. Ruled out: the accept loop, which was waiting for a place as it should. Now, under pressure alone, a connection that stands still in a request for a second is closed. The test fails without it.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -35,8 +35,8 @@
 const LAST_MARGIN: Duration = Duration::from_millis(1);
 /// A client's wait beyond this is not believed.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
-/// A head that takes longer is not coming.
-const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// A connection whose next head takes longer is closed, idle or not.
+const HEAD_LIMIT: Duration = Duration::from_secs(60);
 /// Time for the body of a request that is wrong anyhow.
 const BODY_TIME: Duration = Duration::from_secs(2);
 /// And of one that announces itself as too long, which its client may be holding back.
@@ -45,6 +45,8 @@
 const READ_ON: usize = 4 * 1024 * 1024;
 /// A connection this young has its first request under way.
 const FRESH: Duration = Duration::from_millis(500);
+/// Under pressure, a client that has not gone on with a request for so long is in the others' way.
+const STUCK: Duration = Duration::from_millis(1000);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -71,6 +73,8 @@
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
     read: Cell<u64>,
+    /// When it was first looked at with a request begun and not read whole.
+    stuck_since: Cell<Option<Instant>>,
     close: Notify,
 }
 
@@ -80,6 +84,16 @@
         let fresh = self.socket.read() == 0 && self.idle_since.get().elapsed() < FRESH;
         !fresh && !self.busy.get() && self.socket.read() == self.read.get() && self.socket.quiet()
     }
+
+    /// Has begun a request long ago and not gone on with it.
+    fn stuck(&self) -> bool {
+        if self.busy.get() || self.socket.read() == self.read.get() {
+            return false;
+        }
+        let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
+        self.stuck_since.set(Some(seen));
+        seen.elapsed() > STUCK
+    }
 }
 
 /// Marks a connection as busy for as long as a request is on it.
@@ -88,6 +102,7 @@
 impl Busy {
     fn new(client: Rc<Client>) -> Busy {
         client.busy.set(true);
+        client.stuck_since.set(None);
         Busy(client)
     }
 }
@@ -146,9 +161,12 @@
         server
     }
 
+    /// Makes room: of what may be closed, the one that has asked for nothing the longest.
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
-        if let Some(client) = clients.values().filter(|c| c.idle()).min_by_key(|c| c.idle_since.get()) {
+        let mut order: Vec<&Rc<Client>> = clients.values().filter(|c| !c.busy.get()).collect();
+        order.sort_by_key(|c| c.idle_since.get());
+        if let Some(client) = order.into_iter().find(|c| c.idle() || c.stuck()) {
             client.close.notify_one();
         }
     }
@@ -216,6 +234,7 @@
             busy: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
+            stuck_since: Cell::new(None),
             close: Notify::new(),
         });
         let number = self.next.get();
@@ -250,7 +269,7 @@
                 _ = connection.as_mut() => return,
                 () = client.close.notified() => {
                     // Looked at again: a request may have come since.
-                    if client.idle() && client.socket.read() == 0 {
+                    if client.stuck() || client.idle() && client.socket.read() == 0 {
                         return;
                     }
                     if client.idle() {
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -112,6 +112,20 @@
     assert_eq!(record.count(), 200);
 }
 
+#[test]
+fn clients_that_never_finish_their_request_do_not_shut_others_out() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 44.into());
+    let mut stuck: Vec<Client> = (0..100).map(|_| Client::connect(node.address)).collect();
+    for client in &mut stuck {
+        client.send(b"GET /api HT");
+    }
+    assert_eq!(ask(node.address, &request("page", 4000)).status(), 200);
+    assert!(node.descriptors() <= 44, "{} descriptors", node.descriptors());
+}
+
 #[test]
 fn the_nodes_own_want_of_descriptors_is_not_blamed_on_backends() {
     let record = Record::default();
