Make the test of stale connections able to fail

Cause: the fake backend closed so soon that the node saw it while reading the answer, so the look before the next send was never what saved the request: the test passed with that look taken out. The backend now closes a moment later, and the test fails without the look (upstream.rs, take_idle). The other tests were tried in the same way: without the check after the handshake, the news that a client left, the notice to stop, the proof of 'never ran' and the release at a drain, theirs fail.

--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -80,6 +80,8 @@
     Say(Vec<u8>),
     /// Writes this and closes.
     SayAndClose(Vec<u8>),
+    /// Writes this and closes a moment after the other side has read it.
+    SayAndCloseLater(Vec<u8>),
     /// Keeps the connection open and says nothing.
     Silent,
 }
@@ -165,9 +167,15 @@
                             let _ = stream.write_all(&bytes);
                             break;
                         }
+                        Act::SayAndCloseLater(bytes) => {
+                            let _ = stream.write_all(&bytes);
+                            thread::sleep(Duration::from_millis(50));
+                            break;
+                        }
                         Act::Silent => {}
                     }
                 }
+                drop((stream, reader));
                 record.closed.fetch_add(1, Ordering::SeqCst);
             });
         }
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -134,7 +134,7 @@
 fn a_stale_connection_is_not_sent_on() {
     // The backend closes after each answer without saying so.
     let record = Record::default();
-    let addresses = backends(1, &record, |_, _| Act::SayAndClose(reply("200 OK", "", b"bye")));
+    let addresses = backends(1, &record, |_, _| Act::SayAndCloseLater(reply("200 OK", "", b"bye")));
     let discovery = Discovery::start(all_up(&addresses));
     let node = Node::start(discovery.address, |_| {});
     let mut client = Client::connect(node.address);
