--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -47,7 +47,10 @@
     for line in lines {
         match target(line, names) {
             Ok(target) => targets.push(target),
-            Err(field) => log::line(&format!("discovery: entry skipped, bad {field}: {line}")),
+            Err(field) => {
+                let line = line.to_string();
+                log::line(&format!("discovery: entry skipped, bad {field}: {line:.200}"));
+            }
         }
     }
     Some(Listing { rev, all, targets })
@@ -129,7 +132,8 @@
                         log::line("discovery: answers again");
                         failing = false;
                     }
-                    if !lost && (listing.all || !listing.targets.is_empty()) {
+                    // No change is news too where discovery is asked: the call did not fail.
+                    if !lost {
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
                         driver.take(Input::List(kind, listing.targets));
                     }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -313,16 +313,16 @@
             };
             report.finish = Some(finish);
             drop(report);
-            driver.keep(&errand, conn);
+            driver.keep(errand.backend, errand.address, conn);
         });
     }
 
     /// Keeps a connection unless its backend has drained, gone or moved meanwhile.
-    fn keep(&self, errand: &Errand, conn: Option<Conn>) {
+    fn keep(&self, backend: BackendId, address: SocketAddr, conn: Option<Conn>) {
         let core = self.core.borrow();
-        let same = core.places.get(&errand.backend).is_some_and(|p| p.up && p.address == errand.address);
+        let same = core.places.get(&backend).is_some_and(|p| p.up && p.address == address);
         if let Some(conn) = conn.filter(|_| same) {
-            self.upstream.keep(errand.backend, conn);
+            self.upstream.keep(backend, conn);
         }
     }
 
@@ -340,8 +340,9 @@
         let driver = self.clone();
         let begun = Instant::now();
         spawn_local(async move {
-            let (finish, _) = driver.upstream.probe(backend, address, driver.probe_path).await;
+            let (finish, conn) = driver.upstream.probe(backend, address, driver.probe_path).await;
             driver.take(Input::Probed(backend, finish, begun.elapsed().as_secs_f64() * 1000.0));
+            driver.keep(backend, address, conn);
         });
     }
 }
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -210,7 +210,11 @@
 
 impl Discovery {
     pub fn start(targets: Vec<Value>) -> Discovery {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        Discovery::start_at(loopback(0), targets)
+    }
+
+    pub fn start_at(address: SocketAddr, targets: Vec<Value>) -> Discovery {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let state = ListState { rev: 1, targets, ..ListState::default() };
         let discovery = Discovery { state: Arc::new((Mutex::new(state), Condvar::new())), address };
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -123,6 +123,22 @@
     assert_eq!(clients[0].ask(&request("bid", 900)).status(), 200, "sent on the other stale connection");
 }
 
+#[test]
+fn where_discovery_is_asked_a_failed_call_is_made_again() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let targets = all_up(&addresses);
+    // Nobody answers at first: the decisions ask again, until somebody does.
+    let address = free_address();
+    let node =
+        Node::launch(address, |c| c["settings"]["membershipMode"] = "on_request".into(), "exec \"$0\"");
+    wait_for("the node answers", || node.up() == 503);
+    let discovery = Discovery::start_at(address, targets);
+    wait_for("the list arrived", || node.up() == 200);
+    discovery.set(vec![target("s-0", addresses[0], "draining")]);
+    wait_for("the drain is known", || node.up() == 503);
+}
+
 #[test]
 fn a_discovery_that_does_not_wait_is_not_asked_without_end() {
     let record = Record::default();
