--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// A socket that connects, as the system lists it.
+pub const SYN_SENT: &str = "02";
+
+/// Some socket is connected, or connecting, to `remote` and in that state.
+pub fn tcp_state(remote: SocketAddr, state: &str) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    sockets.contains(&format!(":{:04X} {state}", remote.port()))
+}
+
 /// An address of this process's own with a port that nothing listens on.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
