Follow a new configuration on SIGHUP instead of ending

Ruled out: discovery itself, which was well until the signal. Now both handlers stand before the configuration is read; on SIGHUP the file is read again in its own words (LB_DISCOVERY still names the old address), the pending call is given up and the whole list asked for at once at the new address, with the old version forgotten. A bad file is logged and changes nothing.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -67,10 +67,10 @@
     text.parse().map_err(|_| wrong(field, format!("{text:?} is not an address and port")))
 }
 
-/// A text of the file, or of the environment where that names it too.
-fn text(file: &Value, field: &str, variable: Option<&str>) -> Result<Option<String>, ConfigError> {
-    if let Some(value) = variable.and_then(|v| std::env::var(v).ok()) {
-        return Ok(Some(value));
+/// A text of the file, unless the environment has a word on it.
+fn text(file: &Value, field: &str, word: Option<String>) -> Result<Option<String>, ConfigError> {
+    if word.is_some() {
+        return Ok(word);
     }
     match file.get(field) {
         None | Some(Value::Null) => Ok(None),
@@ -79,29 +79,37 @@
     }
 }
 
-fn address_of(
-    file: &Value,
-    field: &str,
-    variable: Option<&str>,
-) -> Result<Option<SocketAddr>, ConfigError> {
-    text(file, field, variable)?.map(|t| address(field, &t)).transpose()
+fn address_of(file: &Value, field: &str, word: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
+    text(file, field, word)?.map(|t| address(field, &t)).transpose()
 }
 
+/// Where the environment has the last word on where discovery is.
+const DISCOVERY: &str = "LB_DISCOVERY";
+
 impl Config {
-    /// Reads the file that `LB_CONFIG` names.
+    /// Reads the file that `LB_CONFIG` names; the environment goes before it.
     pub fn load() -> Result<Config, ConfigError> {
+        Config::read_file(|variable| std::env::var(variable).ok())
+    }
+
+    /// Reads the file again. The environment is as it was at the start: what the file says of discovery is
+    /// newer.
+    pub fn reload() -> Result<Config, ConfigError> {
+        Config::read_file(|variable| std::env::var(variable).ok().filter(|_| variable != DISCOVERY))
+    }
+
+    fn read_file(word: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
         let file = |reason: String| ConfigError::File { path: path.clone(), reason };
         let content = std::fs::read_to_string(&path).map_err(|e| file(e.to_string()))?;
         let json: Value = serde_json::from_str(&content).map_err(|e| file(e.to_string()))?;
-        Config::read(&json)
+        Config::read(&json, word)
     }
 
-    fn read(json: &Value) -> Result<Config, ConfigError> {
+    fn read(json: &Value, word: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let missing = |field: &'static str| move || wrong(field, "missing");
-        let listen = address_of(json, "listen", Some("LB_LISTEN"))?.ok_or_else(missing("listen"))?;
-        let discovery =
-            address_of(json, "discovery", Some("LB_DISCOVERY"))?.ok_or_else(missing("discovery"))?;
+        let listen = address_of(json, "listen", word("LB_LISTEN"))?.ok_or_else(missing("listen"))?;
+        let discovery = address_of(json, "discovery", word(DISCOVERY))?.ok_or_else(missing("discovery"))?;
         let seed = match json.get("seed") {
             Some(Value::Number(n)) => n.as_u64().ok_or_else(|| wrong("seed", "not a whole number"))?,
             Some(Value::String(s)) => u64::from_str_radix(s, 16).unwrap_or_else(|_| wire::stable_hash(s)),
@@ -126,7 +134,7 @@
         let settings = json.get("settings").ok_or_else(missing("settings"))?;
         let (settings, names) = wire::settings(&settings.to_string())?;
         Ok(Config {
-            name: text(json, "name", Some("LB_NAME"))?.unwrap_or_default(),
+            name: text(json, "name", word("LB_NAME"))?.unwrap_or_default(),
             listen,
             discovery,
             seed,
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
 /// agent that has fallen silent.
@@ -92,8 +92,8 @@
 
 /// Keeps the list fresh for as long as the node lives.
 pub struct Watch {
-    /// Where discovery is.
-    pub address: SocketAddr,
+    /// Where discovery is; a new configuration may name another place.
+    pub address: watch::Receiver<SocketAddr>,
     /// How the list arrives.
     pub mode: Discovery,
     /// Names of zones.
@@ -107,6 +107,8 @@
 impl Watch {
     /// Runs until the driver is gone.
     pub async fn run(mut self, driver: Rc<Driver>) {
+        let mut address = self.address.clone();
+        let mut at = *address.borrow();
         let mut conn = None;
         let mut rev: Option<u64> = None;
         let mut wanted = self.mode == Discovery::Pushed;
@@ -115,13 +117,28 @@
             while let Ok(wish) = self.wishes.try_recv() {
                 wanted = wish;
             }
+            let now_at = *address.borrow_and_update();
+            if at != now_at {
+                // Another discovery counts on its own: only its whole list, asked for at once, says what holds.
+                (at, conn, rev, wanted) = (now_at, None, None, true);
+            }
             if !wanted {
-                let Some(wish) = self.wishes.recv().await else { return };
-                wanted = wish;
+                tokio::select! {
+                    wish = self.wishes.recv() => match wish {
+                        Some(wish) => wanted = wish,
+                        None => return,
+                    },
+                    Ok(()) = address.changed() => {}
+                }
                 continue;
             }
             let begun = Instant::now();
-            match self.call(&mut conn, rev).await {
+            // A call to where discovery was is given up: its answer would be that of another list.
+            let answered = tokio::select! {
+                answered = self.call(at, &mut conn, rev) => answered,
+                Ok(()) = address.changed() => continue,
+            };
+            match answered {
                 Ok(listing) => {
                     // A watch that did not wait and brought nothing must not make this loop spin.
                     let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
@@ -161,7 +178,12 @@
         }
     }
 
-    async fn call(&self, conn: &mut Option<Conn>, rev: Option<u64>) -> Result<Listing, Box<dyn Error>> {
+    async fn call(
+        &self,
+        at: SocketAddr,
+        conn: &mut Option<Conn>,
+        rev: Option<u64>,
+    ) -> Result<Listing, Box<dyn Error>> {
         let wait_ms = if self.mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
         let (path, wait) = match rev {
             None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
@@ -170,19 +192,19 @@
                 (path, Duration::from_millis(wait_ms))
             }
         };
-        let request =
-            Request::get(path).header(HOST, self.address.to_string()).body(Full::<Bytes>::default())?;
-        tokio::time::timeout(wait + SLACK, self.exchange(conn, request)).await?
+        let request = Request::get(path).header(HOST, at.to_string()).body(Full::<Bytes>::default())?;
+        tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
     }
 
     async fn exchange(
         &self,
+        at: SocketAddr,
         kept: &mut Option<Conn>,
         request: Request<Full<Bytes>>,
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
-            None => Conn::open(self.address, self.descriptors.take().await).await?,
+            None => Conn::open(at, self.descriptors.take_own()).await?,
         };
         let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
         if answer.status() != StatusCode::OK {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -19,12 +19,13 @@
 use birchspoke::Balancer;
 use birchspoke::interface::ListKind;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 /// Connections that may wait while this node is busy or out of descriptors.
@@ -45,8 +46,25 @@
     socket.listen(BACKLOG)
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+/// Reads the configuration again whenever told to. Where discovery is may change under way; all else holds
+/// from start to end. A file that is wrong changes nothing.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::reload() {
+            Ok(config) => {
+                log::line(&format!("configuration read again: discovery is at {}", config.discovery));
+                discovery.send_replace(config.discovery);
+            }
+            Err(e) => log::line(&format!("configuration kept as it was: {e}")),
+        }
+    }
+}
+
+async fn run() -> Result<(), Box<dyn Error>> {
+    // Before all else: what these signals do by default is to end the process.
     let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let settings = config.settings.clone();
     let descriptors = Descriptors::new(config.sockets);
@@ -66,14 +84,16 @@
     if let Some(known) = discovery::listing(&config.known, &names) {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
+    let (told, address) = watch::channel(config.discovery);
     let watch = Watch {
-        address: config.discovery,
+        address,
         mode: settings.discovery,
         names: names.clone(),
         descriptors: descriptors.clone(),
         wishes,
     };
     spawn_local(watch.run(driver.clone()));
+    spawn_local(reload(hangup, told));
     if let Some(peers) = peers {
         let driver = driver.clone();
         spawn_local(async move { peers.listen(&driver).await });
@@ -109,13 +129,6 @@
 }
 
 fn main() -> ExitCode {
-    let config = match Config::load() {
-        Ok(config) => config,
-        Err(e) => {
-            log::line(&format!("configuration: {e}"));
-            return ExitCode::from(2);
-        }
-    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -123,7 +136,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, run(config)) {
+    match LocalSet::new().block_on(&runtime, run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::line(&e.to_string());
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Descriptors kept for all that is not counted: standard streams, the poller, the listener, UDP, and a
-/// connection just accepted.
+/// Descriptors kept for all that is not counted or does not wait: standard streams, the poller, the listener,
+/// UDP, discovery, the configuration read again, and a connection just accepted.
 const UNCOUNTED: usize = 24;
 
 /// Closes something idle. True: a descriptor was freed at once; false: none was, or it will be soon.
@@ -57,11 +57,16 @@
         self.take_below(self.limit - self.limit / 8).await
     }
 
+    /// A place at once, for the node's own calls: these are few, and must not wait behind strangers.
+    pub fn take_own(self: &Rc<Self>) -> Slot {
+        self.used.set(self.used.get() + 1);
+        Slot(self.clone())
+    }
+
     async fn take_below(self: &Rc<Self>, limit: usize) -> Slot {
         loop {
             if self.used.get() < limit {
-                self.used.set(self.used.get() + 1);
-                return Slot(self.clone());
+                return self.take_own();
             }
             if !self.relieve() {
                 // The wait is bounded: what was asked to close may have turned busy meanwhile.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -308,6 +308,7 @@
     pub address: SocketAddr,
     child: Child,
     file: std::path::PathBuf,
+    config: Value,
 }
 
 impl Node {
@@ -333,10 +334,23 @@
         let child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &file)
+            .env("LB_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        Node { address, child, file }
+        Node { address, child, file, config }
+    }
+
+    /// Replaces the configuration and has it read.
+    pub fn reload(&mut self, discovery: SocketAddr) {
+        self.config["discovery"] = discovery.to_string().into();
+        self.reload_text(&self.config.to_string());
+    }
+
+    /// The same with any text.
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn up(&self) -> u16 {
@@ -356,8 +370,12 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
     pub fn running(&mut self) -> bool {
