Turn bad clients away at once, end silence after 2.2 s, give clients half of the descriptors

Also passed on: the id of an open request; Content-Length with Transfer-Encoding, of which hyper drops the length before the service sees it (role.rs, parse), so 411 for any coding. All of these are answered at once now and end their connection (request.rs). - server.rs, HEAD_LIMIT: silent and half-sent connections stayed for 60 s, bodies for up to 600 s. Clients have half; who has asked nothing goes first, and no usual one for it. - Bodies that are turned away were read before the answer; now the answer goes first and the rest is read on for 0.5 s. - hyper's buffers grow to 400 KB; now 8 to 64 KB by memory and descriptors. Ruled out: CPU (0.12 s in the busiest second).

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -18,6 +18,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that it may take, in bytes.
+    pub memory: usize,
     /// Where datagrams of other nodes arrive.
     pub peer_listen: Option<SocketAddr>,
     /// The nodes of the tier, by number.
@@ -115,12 +117,12 @@
             Some(Value::String(s)) => u64::from_str_radix(s, 16).unwrap_or_else(|_| wire::stable_hash(s)),
             _ => return Err(wrong("seed", "missing or not a text")),
         };
-        let sockets = match json.pointer("/limits/sockets") {
-            None | Some(Value::Null) => 1024,
+        let limit = |name: &str, default: usize| match json.pointer(&format!("/limits/{name}")) {
+            None | Some(Value::Null) => Ok(default),
             Some(v) => v
                 .as_u64()
                 .and_then(|n| usize::try_from(n).ok())
-                .ok_or_else(|| wrong("limits.sockets", "not a whole number"))?,
+                .ok_or_else(|| wrong(&format!("limits.{name}"), "not a whole number")),
         };
         let peers = match json.get("peers") {
             None | Some(Value::Null) => Vec::new(),
@@ -138,7 +140,8 @@
             listen,
             discovery,
             seed,
-            sockets,
+            sockets: limit("sockets", 1024)?,
+            memory: limit("memory_mb", 192)?.saturating_mul(1024 * 1024),
             peer_listen: address_of(json, "peer_listen", None)?,
             peers,
             peers_all: address_of(json, "peers_all", None)?,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod log;
 mod peers;
+mod request;
 mod server;
 mod socket;
 mod upstream;
@@ -13,6 +14,7 @@
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
 use crate::peers::Peers;
+use crate::request::Reader;
 use crate::server::Server;
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
@@ -30,6 +32,12 @@
 
 /// Connections that may wait while this node is busy or out of descriptors.
 const BACKLOG: u32 = 1024;
+/// Part of the memory that the bodies of open requests may take, and that the connections' buffers may.
+const BODIES_PART: usize = 8;
+const BUFFERS_PART: usize = 4;
+/// What a connection may read ahead: a head must fit, and no more than a body is of use.
+const LEAST_BUFFER: usize = 8 * 1024;
+const MOST_BUFFER: usize = 64 * 1024;
 /// How often idle connections to backends are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
@@ -68,6 +76,7 @@
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let settings = config.settings.clone();
     let descriptors = Descriptors::new(config.sockets);
+    let buffer = (config.memory / BUFFERS_PART / config.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
     let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
@@ -108,8 +117,9 @@
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
-    let server =
-        Server::new(driver.clone(), names, settings.classes, settings.open_cap as usize, descriptors);
+    let reader = Reader::new(names, settings.classes, config.memory / BODIES_PART);
+    let open_cap = settings.open_cap as usize;
+    let server = Server::new(driver.clone(), reader, open_cap, buffer, descriptors);
     log::line(&format!("{} serves on {}", config.name, config.listen));
     let accepting = {
         let server = server.clone();
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -2,22 +2,15 @@
 
 use crate::driver::{Answer, Driver};
 use crate::log;
+use crate::request::{Own, Reader, Reading, farewell, full, plain};
 use crate::socket::{Descriptors, Slot, Socket};
-use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
-use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
-use birchspoke::wire::{Names, stable_hash};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use hyper::http::request::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -28,25 +21,19 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-/// The client counts from its send, this node from the arrival: time for the way here, the answer's way
-/// back, and this loop. The decisions end a request so long before the client gives up.
-const MARGIN: Duration = Duration::from_millis(4);
-/// And so long before, the node ends what the decisions have not.
-const LAST_MARGIN: Duration = Duration::from_millis(1);
-/// A client's wait beyond this is not believed.
-const LONGEST_WAIT: Duration = Duration::from_secs(600);
-/// A connection whose next head takes longer is closed, idle or not.
-const HEAD_LIMIT: Duration = Duration::from_secs(60);
-/// Time for the body of a request that is wrong anyhow.
-const BODY_TIME: Duration = Duration::from_secs(2);
-/// And of one that announces itself as too long, which its client may be holding back.
-const LONG_BODY_TIME: Duration = Duration::from_millis(500);
-/// How far a body that is too long is read.
-const READ_ON: usize = 4 * 1024 * 1024;
+/// A connection that has brought no whole head since it began, or since its last answer, is closed: it is
+/// silent, sends half a request, or does not read its answer.
+const IDLE_LIMIT: Duration = Duration::from_millis(2200);
+/// One that carries a request just then is looked at again so soon.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// What a client is still sending when its connection ends is read for so long and so far: a socket closed
+/// with unread bytes resets, and takes an answer under way along.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_READ: usize = 1024 * 1024;
 /// A connection this young has its first request under way.
-const FRESH: Duration = Duration::from_millis(500);
+const FRESH: Duration = Duration::from_millis(50);
 /// Under pressure, a client that has not gone on with a request for so long is in the others' way.
-const STUCK: Duration = Duration::from_millis(1000);
+const STUCK: Duration = Duration::from_millis(100);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -54,45 +41,68 @@
 /// But so long at most: SIGKILL would find unanswered what is taken later.
 const ACCEPT_END: Duration = Duration::from_millis(1500);
 
-/// Headers that concern one connection only, or that are made anew.
-const OWN_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// One client connection.
 struct Client {
     socket: Socket,
     busy: Cell<bool>,
+    /// It has brought a whole head.
+    asked: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
     read: Cell<u64>,
     /// When it was first looked at with a request begun and not read whole.
     stuck_since: Cell<Option<Instant>>,
+    /// Its answer is given and only what it still sends is read.
+    over: Cell<bool>,
     close: Notify,
 }
 
+/// Whose connection is closed first when there is no place for another.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    Over,
+    AskedNothing,
+    Idle,
+    Stuck,
+}
+
 impl Client {
-    /// Nothing asked, nothing being read, nothing waiting to be read. Who has just connected is about to ask.
-    fn idle(&self) -> bool {
-        let fresh = self.socket.read() == 0 && self.idle_since.get().elapsed() < FRESH;
-        !fresh && !self.busy.get() && self.socket.read() == self.read.get() && self.socket.quiet()
+    /// Whose turn it is to be closed; none while a request is on it.
+    fn turn(&self) -> Option<Turn> {
+        match self.socket.read() == self.read.get() {
+            _ if self.over.get() => Some(Turn::Over),
+            _ if self.busy.get() => None,
+            _ if !self.asked.get() => Some(Turn::AskedNothing),
+            true => Some(Turn::Idle),
+            false => Some(Turn::Stuck),
+        }
     }
 
-    /// Has begun a request long ago and not gone on with it.
-    fn stuck(&self) -> bool {
-        if self.busy.get() || self.socket.read() == self.read.get() {
-            return false;
+    /// May be closed now, asking the system too. Who has just connected is about to ask.
+    fn may_close(&self) -> bool {
+        let begun = self.socket.read() != self.read.get();
+        match self.turn() {
+            None => false,
+            Some(Turn::Over) => true,
+            Some(Turn::AskedNothing) => {
+                self.idle_since.get().elapsed() > FRESH && (begun || self.socket.quiet())
+            }
+            Some(Turn::Idle) => self.socket.quiet(),
+            Some(Turn::Stuck) => {
+                let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
+                self.stuck_since.set(Some(seen));
+                seen.elapsed() > STUCK
+            }
         }
-        let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
-        self.stuck_since.set(Some(seen));
-        seen.elapsed() > STUCK
+    }
+
+    /// Nothing on it, and no whole head for too long.
+    fn outstayed(&self) -> bool {
+        let due = self.idle_since.get() + IDLE_LIMIT;
+        let begun = self.socket.read() != self.read.get();
+        // What waits to be read just then has one more look's time to be.
+        let waits = !begun && !self.socket.quiet() && due.elapsed() < LOOK_AGAIN;
+        !self.busy.get() && due <= Instant::now() && !waits
     }
 }
 
@@ -102,6 +112,7 @@
 impl Busy {
     fn new(client: Rc<Client>) -> Busy {
         client.busy.set(true);
+        client.asked.set(true);
         client.stuck_since.set(None);
         Busy(client)
     }
@@ -132,9 +143,9 @@
 /// The client side of the node.
 pub struct Server {
     driver: Rc<Driver>,
-    names: Rc<Names>,
-    classes: Vec<Class>,
+    reader: Reader,
     open_cap: usize,
+    buffer: usize,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
@@ -144,19 +155,19 @@
 }
 
 impl Server {
-    /// A server with no clients yet.
+    /// A server with no clients yet. `buffer` is what it reads ahead on a connection, in bytes.
     pub fn new(
         driver: Rc<Driver>,
-        names: Rc<Names>,
-        classes: Vec<Class>,
+        reader: Reader,
         open_cap: usize,
+        buffer: usize,
         descriptors: Rc<Descriptors>,
     ) -> Rc<Server> {
         let server = Rc::new(Server {
             driver,
-            names,
-            classes,
+            reader,
             open_cap,
+            buffer,
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             next: Cell::new(0),
@@ -165,9 +176,9 @@
             closed: Notify::new(),
         });
         let weak = Rc::downgrade(&server);
-        descriptors.on_pressure(Box::new(move || {
+        descriptors.on_clients(Box::new(move || {
             if let Some(server) = weak.upgrade() {
-                server.close_longest_idle();
+                server.make_room();
             }
             // It closes when its task has its turn, not at once.
             false
@@ -175,18 +186,19 @@
         server
     }
 
-    /// Makes room: of what may be closed, the one that has asked for nothing the longest.
-    fn close_longest_idle(&self) {
+    /// Makes room: who has asked nothing goes before those that will ask again, the oldest first. Whose turn it
+    /// is may still be about to ask; that moment is waited for rather than another closed.
+    fn make_room(&self) {
         let clients = self.clients.borrow();
-        let mut order: Vec<&Rc<Client>> = clients.values().filter(|c| !c.busy.get()).collect();
-        order.sort_by_key(|c| c.idle_since.get());
-        if let Some(client) = order.into_iter().find(|c| c.idle() || c.stuck()) {
+        let first = clients.values().filter_map(|c| Some((c.turn()?, c.idle_since.get(), c)));
+        let first = first.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        if let Some((_, _, client)) = first.filter(|(_, _, c)| c.may_close()) {
             client.close.notify_one();
         }
     }
 
     fn close_idle(&self) {
-        for client in self.clients.borrow().values().filter(|c| c.idle()) {
+        for client in self.clients.borrow().values().filter(|c| c.may_close()) {
             client.close.notify_one();
         }
     }
@@ -246,9 +258,11 @@
         let client = Rc::new(Client {
             socket: socket.clone(),
             busy: Cell::new(false),
+            asked: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
             stuck_since: Cell::new(None),
+            over: Cell::new(false),
             close: Notify::new(),
         });
         let number = self.next.get();
@@ -268,44 +282,52 @@
             }
         });
         let mut connection = pin!(
-            http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .serve_connection(TokioIo::new(socket), service)
+            http1::Builder::new().max_buf_size(self.buffer).serve_connection(TokioIo::new(socket), service)
         );
+        let mut look_at = Instant::now() + IDLE_LIMIT;
         loop {
             tokio::select! {
                 // Errors are the client's: gone, or not speaking the protocol and told so.
-                _ = connection.as_mut() => return,
+                _ = connection.as_mut() => break,
                 () = client.close.notified() => {
                     // Looked at again: a request may have come since.
-                    if client.stuck() || client.idle() && client.socket.read() == 0 {
-                        return;
+                    match client.turn().filter(|_| client.may_close()) {
+                        Some(Turn::Idle) => connection.as_mut().graceful_shutdown(),
+                        Some(_) => return,
+                        None => {}
                     }
-                    if client.idle() {
-                        connection.as_mut().graceful_shutdown();
+                }
+                () = tokio::time::sleep_until(look_at.into()) => {
+                    if client.outstayed() {
+                        return;
                     }
+                    look_at = (client.idle_since.get() + IDLE_LIMIT).max(Instant::now() + LOOK_AGAIN);
                 }
             }
         }
+        client.over.set(true);
+        tokio::select! {
+            _ = tokio::time::timeout(LINGER, client.socket.discard(LINGER_READ)) => {}
+            () = client.close.notified() => {}
+        }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>) -> Own {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.read(arrived, head, body).await {
-                Ok(reading) => answer(self.ask(reading).await),
-                Err(refused) => refused,
+            match self.reader.read(arrived, head, body).await {
+                Ok(reading) => self.ask(reading).await,
+                Err(turned_away) => turned_away,
             }
         } else if path != "/up" {
-            self.turn_away(arrived, body, StatusCode::NOT_FOUND, "no such path\n").await
+            farewell(StatusCode::NOT_FOUND, "no such path\n")
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             let ready = self.driver.ready() && self.stopping.get().is_none();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
-            self.turn_away(arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
+            farewell(StatusCode::METHOD_NOT_ALLOWED, "")
         };
         if self.stopping.get().is_some() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -313,149 +335,18 @@
         response
     }
 
-    /// Answers a request that is wrong, once its body is read: a socket closed with unread bytes resets,
-    /// and the answer under way would be lost.
-    async fn turn_away(
-        &self,
-        arrived: Instant,
-        body: Incoming,
-        status: StatusCode,
-        text: &'static str,
-    ) -> Response<Full<Bytes>> {
-        match collect(body, arrived + BODY_TIME).await {
-            Ok(_) => plain(status, text),
-            Err(BodyError::Long) => farewell(status, text),
-            Err(BodyError::Cut | BodyError::Late) => farewell(StatusCode::BAD_REQUEST, text),
-        }
-    }
-
-    async fn ask(&self, Reading { asked, call, deadline, expires }: Reading) -> Answer {
+    async fn ask(&self, Reading { asked, call, deadline, expires, id }: Reading) -> Own {
         if self.driver.open() >= self.open_cap {
-            return Answer::Refused { retry_after_ms: 0.0 };
+            return full();
         }
-        self.driver.submit(asked, call, deadline, expires).answer().await
+        let answered = answer(self.driver.submit(asked, call, deadline, expires).answer().await);
+        drop(id);
+        answered
     }
-
-    /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
-    async fn read(
-        &self,
-        arrived: Instant,
-        head: Parts,
-        body: Incoming,
-    ) -> Result<Reading, Response<Full<Bytes>>> {
-        let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        if header("x-trace-id").is_none_or(str::is_empty) {
-            let text = "X-Trace-Id is missing\n";
-            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
-        }
-        let class = self.names.class(header("x-qos").unwrap_or_default());
-        let known = self.classes.get(class);
-        let keyed = head.headers.contains_key("idempotency-key");
-        // The class tells how often the request may run; a method that says otherwise is a mistake, and
-        // taking it for either could run something twice.
-        let agrees = match known.map(|c| c.effect) {
-            Some(Effect::Safe) => head.method == Method::GET,
-            Some(Effect::Keyed(_)) => head.method == Method::POST && keyed,
-            Some(Effect::Unsafe) => head.method == Method::POST && !keyed,
-            None => matches!(head.method, Method::GET | Method::POST),
-        };
-        if !agrees {
-            let text = "method and Idempotency-Key do not agree with the class\n";
-            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
-        }
-        let shortest = || self.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
-        let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
-        let wait = header(EXPIRES)
-            .and_then(|v| v.trim().parse::<u64>().ok())
-            .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
-            .min(LONGEST_WAIT);
-        let expires = arrived + wait.saturating_sub(LAST_MARGIN);
-        let body = collect(body, expires).await.map_err(|e| match e {
-            BodyError::Long => farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
-            BodyError::Cut => farewell(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
-            BodyError::Late => farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
-        })?;
-        let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
-        let asked = Asked {
-            id: RequestId(0),
-            class,
-            tenant: header("x-customer").and_then(|t| self.names.tenant(t)),
-            key: header("x-object").map(stable_hash),
-            deadline_ms: 0.0,
-            effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
-            retry: header("x-second-try") == Some("1"),
-        };
-        let target =
-            head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
-        let call = Call { method: head.method, target, headers: onward(head.headers), body };
-        Ok(Reading { asked, call, deadline: arrived + wait.saturating_sub(MARGIN), expires })
-    }
-}
-
-struct Reading {
-    asked: Asked,
-    call: Call,
-    deadline: Instant,
-    expires: Instant,
-}
-
-/// Why there is no body.
-enum BodyError {
-    Long,
-    Cut,
-    Late,
-}
-
-/// A whole body. One that is too long is read on for a while without being kept, so that its client is
-/// done sending when the answer comes.
-async fn collect(mut body: Incoming, until: Instant) -> Result<Bytes, BodyError> {
-    let mut kept = BytesMut::new();
-    let mut length = 0;
-    let announced = body.size_hint().lower() > BODY_LIMIT as u64;
-    let until = if announced { until.min(Instant::now() + LONG_BODY_TIME) } else { until };
-    let read = async {
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| BodyError::Cut)?.into_data() else { continue };
-            length += data.len();
-            if length <= BODY_LIMIT {
-                kept.extend_from_slice(&data);
-            } else if length > READ_ON {
-                break;
-            }
-        }
-        Ok(())
-    };
-    let read = tokio::time::timeout_at(until.into(), read).await;
-    match read {
-        _ if announced || length > BODY_LIMIT => Err(BodyError::Long),
-        Ok(whole) => whole.map(|()| kept.freeze()),
-        Err(_) => Err(BodyError::Late),
-    }
-}
-
-/// The headers that go on to a backend.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
-    for name in OWN_HEADERS {
-        headers.remove(name);
-    }
-    headers
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-/// An answer after which the rest of what the client sends cannot be made sense of, or is not wanted.
-fn farewell(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = plain(status, text);
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
 }
 
 /// The answer as the client sees it.
-fn answer(answer: Answer) -> Response<Full<Bytes>> {
+fn answer(answer: Answer) -> Own {
     match answer {
         Answer::Served(reply) => {
             let mut response = Response::new(Full::new(reply.body));
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -20,9 +20,12 @@
 /// One count over the sockets of clients, backends and discovery.
 pub struct Descriptors {
     used: Cell<usize>,
+    /// How many of those are clients'.
+    clients: Cell<usize>,
     limit: usize,
     freed: Notify,
-    reclaim: RefCell<Vec<Reclaim>>,
+    backends_idle: RefCell<Option<Reclaim>>,
+    clients_idle: RefCell<Option<Reclaim>>,
 }
 
 impl Descriptors {
@@ -30,59 +33,82 @@
     pub fn new(sockets: usize) -> Rc<Descriptors> {
         Rc::new(Descriptors {
             used: Cell::new(0),
+            clients: Cell::new(0),
             limit: sockets.saturating_sub(UNCOUNTED).max(8),
             freed: Notify::new(),
-            reclaim: RefCell::new(Vec::new()),
+            backends_idle: RefCell::default(),
+            clients_idle: RefCell::default(),
         })
     }
 
-    /// Adds a way to get a descriptor back; ways are tried in the order they were added.
-    pub fn on_pressure(&self, reclaim: Reclaim) {
-        self.reclaim.borrow_mut().push(reclaim);
+    /// The way to get the descriptor of an idle connection to a backend back.
+    pub fn on_backends(&self, reclaim: Reclaim) {
+        *self.backends_idle.borrow_mut() = Some(reclaim);
+    }
+
+    /// The same for a client's.
+    pub fn on_clients(&self, reclaim: Reclaim) {
+        *self.clients_idle.borrow_mut() = Some(reclaim);
+    }
+
+    fn relieve_of_clients(&self) -> bool {
+        self.clients_idle.borrow().as_ref().is_some_and(|r| r())
     }
 
     /// Frees what can be freed, for when the system itself has run out.
     pub fn relieve(&self) -> bool {
-        self.reclaim.borrow().iter().any(|r| r())
+        self.backends_idle.borrow().as_ref().is_some_and(|r| r()) || self.relieve_of_clients()
     }
 
     /// Waits for a place: under pressure something idle is closed for it.
     pub async fn take(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit).await
+        while self.used.get() >= self.limit {
+            if !self.relieve() {
+                self.freed().await;
+            }
+        }
+        self.take_own()
     }
 
-    /// The same for a new client, to whom the last eighth is closed: an attempt for one that is there is
-    /// better than one client more.
+    /// The same for a new client. Clients have half of all places, whoever they are: an attempt for one that
+    /// is there is better than one client more, and a connection to a backend is dearer than a client's.
     pub async fn take_for_client(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit - self.limit / 8).await
+        while self.clients.get() >= self.limit / 2 || self.used.get() >= self.limit {
+            let room = self.clients.get() < self.limit / 2;
+            if !(if room { self.relieve() } else { self.relieve_of_clients() }) {
+                self.freed().await;
+            }
+        }
+        self.clients.set(self.clients.get() + 1);
+        let mut slot = self.take_own();
+        slot.client = true;
+        slot
     }
 
     /// A place at once, for the node's own calls: these are few, and must not wait behind strangers.
     pub fn take_own(self: &Rc<Self>) -> Slot {
         self.used.set(self.used.get() + 1);
-        Slot(self.clone())
+        Slot { descriptors: self.clone(), client: false }
     }
 
-    async fn take_below(self: &Rc<Self>, limit: usize) -> Slot {
-        loop {
-            if self.used.get() < limit {
-                return self.take_own();
-            }
-            if !self.relieve() {
-                // The wait is bounded: what was asked to close may have turned busy meanwhile.
-                let _ = tokio::time::timeout(Duration::from_millis(10), self.freed.notified()).await;
-            }
-        }
+    /// The wait is bounded: what was asked to close may have turned busy meanwhile.
+    async fn freed(&self) {
+        let _ = tokio::time::timeout(Duration::from_millis(10), self.freed.notified()).await;
     }
 }
 
 /// A place in the count, given back when dropped.
-pub struct Slot(Rc<Descriptors>);
+pub struct Slot {
+    descriptors: Rc<Descriptors>,
+    client: bool,
+}
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.used.set(self.0.used.get().saturating_sub(1));
-        self.0.freed.notify_one();
+        let Descriptors { used, clients, freed, .. } = &*self.descriptors;
+        used.set(used.get().saturating_sub(1));
+        clients.set(clients.get().saturating_sub(usize::from(self.client)));
+        freed.notify_one();
     }
 }
 
@@ -115,6 +141,19 @@
         self.0.written.get()
     }
 
+    /// Reads so many bytes, or to the end, without keeping any.
+    pub async fn discard(&self, mut most: usize) {
+        let mut scrap = [0; 4096];
+        while most > 0 && self.0.stream.readable().await.is_ok() {
+            match self.0.stream.try_read(&mut scrap) {
+                Ok(0) => return,
+                Ok(n) => most = most.saturating_sub(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -20,6 +20,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Bodies hold at most this much, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -43,6 +44,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// The room that the body takes, given back with it.
+    pub _room: Option<OwnedSemaphorePermit>,
 }
 
 /// A whole answer of a backend.
@@ -174,7 +177,7 @@
             idle_limit: millis(conn_idle_ms * IDLE_PART),
         });
         let weak = Rc::downgrade(&upstream);
-        descriptors.on_pressure(Box::new(move || weak.upgrade().is_some_and(|u| u.drop_oldest())));
+        descriptors.on_backends(Box::new(move || weak.upgrade().is_some_and(|u| u.drop_oldest())));
         upstream
     }
 
@@ -294,6 +297,7 @@
             target: Uri::from_static(path),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            _room: None,
         };
         let left = until.saturating_duration_since(Instant::now());
         let request = call.request(address, left);
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -362,6 +362,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Memory that it has in use.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Clock ticks of CPU used so far.
     pub fn cpu_ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
