Tell spoilt answers from broken connections, and let nothing behind an answer answer another request

Announced lengths over the limit end at once. A body that is not whole 100 ms after its head never will be; at the time-out, a backend that has said anything is not held for silent. - A connection taken again right behind its answer could read a late second copy as the next answer: used again after 10 quiet ms only.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -23,6 +23,8 @@
 const ASKED_WAIT_MS: u64 = 20_000;
 /// What an answer may take beyond that.
 const SLACK: Duration = Duration::from_millis(1_500);
+/// What is read of it at a time.
+const LIST_BUFFER: usize = 64 * 1024;
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
@@ -204,9 +206,9 @@
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
-            None => Conn::open(at, self.descriptors.take_own()).await?,
+            None => Conn::open(at, self.descriptors.take_own(), LIST_BUFFER).await?,
         };
-        let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
+        let answer = conn.exchange(request, LIST_LIMIT, SLACK).await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()).into());
         }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -77,7 +77,8 @@
     let settings = config.settings.clone();
     let descriptors = Descriptors::new(config.sockets);
     let buffer = (config.memory / BUFFERS_PART / config.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
-    let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
+    let upstream =
+        Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms, buffer);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
             let peers = Peers::new(at, config.peers, config.peers_all, settings.slot).await;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -31,7 +31,7 @@
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_READ: usize = 1024 * 1024;
 /// A connection this young has its first request under way.
-const FRESH: Duration = Duration::from_millis(50);
+const FRESH: Duration = Duration::from_millis(25);
 /// Under pressure, a client that has not gone on with a request for so long is in the others' way.
 const STUCK: Duration = Duration::from_millis(100);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -70,11 +70,12 @@
         self.take_own()
     }
 
-    /// The same for a new client. Clients have half of all places, whoever they are: an attempt for one that
-    /// is there is better than one client more, and a connection to a backend is dearer than a client's.
+    /// The same for a new client. Clients have two thirds of all places, whoever they are: an attempt for one
+    /// that is there is better than one client more, and a connection to a backend is dearer than a client's.
     pub async fn take_for_client(self: &Rc<Self>) -> Slot {
-        while self.clients.get() >= self.limit / 2 || self.used.get() >= self.limit {
-            let room = self.clients.get() < self.limit / 2;
+        let most = self.limit - self.limit / 3;
+        while self.clients.get() >= most || self.used.get() >= self.limit {
+            let room = self.clients.get() < most;
             if !(if room { self.relieve() } else { self.relieve_of_clients() }) {
                 self.freed().await;
             }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -4,21 +4,23 @@
 use birchspoke::interface::{BackendId, Load, Outcome};
 use birchspoke::wire;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::future::{Future, poll_fn};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -31,6 +33,11 @@
 /// An idle connection is dropped after this part of the time at which the backend drops it: a request that
 /// crosses the backend's close may have run, and an unsafe one is then lost.
 const IDLE_PART: f64 = 0.7;
+/// What comes right behind an answer is no answer to the next request: a connection is used again only once it
+/// has been quiet for so long.
+const SETTLED: Duration = Duration::from_millis(10);
+/// An answer whose head is there is whole so soon, or it never will be.
+const BODY_TIME: Duration = Duration::from_millis(100);
 /// A probe that takes longer has failed.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -73,6 +80,35 @@
     }
 }
 
+/// Why there is no whole answer.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// The connection broke or ended.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+    /// Something came that is no answer. Whoever sent it is there, and may have run the request.
+    #[error("what came is no answer")]
+    Spoilt,
+}
+
+impl From<hyper::Error> for Failure {
+    fn from(e: hyper::Error) -> Failure {
+        // In a body, what is no chunk comes as an error of reading.
+        let reading = e.source().and_then(|s| s.downcast_ref::<io::Error>()).map(io::Error::kind);
+        let garbled = matches!(reading, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
+        if e.is_parse() || garbled { Failure::Spoilt } else { Failure::Broken(e) }
+    }
+}
+
+/// Whether the end of an answer can be told: one length within the limit, or chunks, and not both. One that
+/// ends with its connection may have been cut anywhere.
+fn check(headers: &HeaderMap, body: &Incoming, limit: usize) -> Result<(), Failure> {
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    let told = chunked != headers.contains_key(CONTENT_LENGTH) || body.size_hint().exact() == Some(0);
+    let fits = body.size_hint().lower() <= limit as u64;
+    if told && fits { Ok(()) } else { Err(Failure::Spoilt) }
+}
+
 type Driven = Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>;
 
 /// A connection whose reading and writing happen only while somebody exchanges on it: nothing is left
@@ -84,10 +120,15 @@
 }
 
 impl Conn {
-    /// Connects; the caller bounds the time.
-    pub async fn open(address: SocketAddr, slot: Slot) -> Result<Conn, Box<dyn std::error::Error>> {
+    /// Connects; the caller bounds the time. `buffer` is what it reads ahead, in bytes.
+    pub async fn open(
+        address: SocketAddr,
+        slot: Slot,
+        buffer: usize,
+    ) -> Result<Conn, Box<dyn std::error::Error>> {
         let socket = Socket::new(TcpStream::connect(address).await?, slot);
-        let (sender, connection) = http1::handshake(TokioIo::new(socket.clone())).await?;
+        let io = TokioIo::new(socket.clone());
+        let (sender, connection) = http1::Builder::new().max_buf_size(buffer).handshake(io).await?;
         Ok(Conn { sender, connection: Some(Box::pin(connection)), socket })
     }
 
@@ -106,17 +147,27 @@
         .await
     }
 
-    /// One request and its whole answer.
+    /// One request and its whole answer, with a body of `limit` bytes at most, which is there within
+    /// `body_time` after the head.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         limit: usize,
-    ) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+        body_time: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
         let sent = self.sender.send_request(request);
         let (head, body) = Conn::drive(&mut self.connection, sent).await?.into_parts();
-        let body = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
-        let body = body.await?.to_bytes();
-        // One more turn: the connection sees that the answer is over and is ready for the next.
+        check(&head.headers, &body, limit)?;
+        let whole = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
+        let body = match tokio::time::timeout(body_time, whole).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => {
+                return Err(e.downcast::<hyper::Error>().map_or(Failure::Spoilt, |e| (*e).into()));
+            }
+            Err(_) => return Err(Failure::Spoilt),
+        };
+        // One more turn: the connection sees that the answer is over and is ready for the next, or that more
+        // came than belongs to it.
         poll_fn(|cx| {
             if self.connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
                 self.connection = None;
@@ -156,6 +207,7 @@
     descriptors: Rc<Descriptors>,
     connect_limit: Duration,
     idle_limit: Duration,
+    buffer: usize,
 }
 
 /// The process or the whole machine has no descriptor left (EMFILE, ENFILE).
@@ -169,12 +221,18 @@
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(descriptors: Rc<Descriptors>, connect_timeout_ms: f64, conn_idle_ms: f64) -> Rc<Upstream> {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        connect_timeout_ms: f64,
+        conn_idle_ms: f64,
+        buffer: usize,
+    ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
             descriptors: descriptors.clone(),
             connect_limit: millis(connect_timeout_ms),
             idle_limit: millis(conn_idle_ms * IDLE_PART),
+            buffer,
         });
         let weak = Rc::downgrade(&upstream);
         descriptors.on_backends(Box::new(move || weak.upgrade().is_some_and(|u| u.drop_oldest())));
@@ -200,21 +258,19 @@
 
     /// Closes what has been idle for long and what the backend has closed.
     pub fn sweep(&self) {
-        for list in self.idle.borrow_mut().values_mut() {
+        self.idle.borrow_mut().retain(|_, list| {
             list.retain(|i| i.since.elapsed() < self.idle_limit && i.conn.alive());
-        }
+            !list.is_empty()
+        });
     }
 
     fn take_idle(&self, backend: BackendId) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&backend)?;
-        while let Some(Idle { conn, since }) = list.pop() {
-            // Looked at once more here: the sweep may be late, and the backend may have closed it since.
-            if since.elapsed() < self.idle_limit && conn.alive() {
-                return Some(conn);
-            }
-        }
-        None
+        // Looked at once more here: the sweep may be late, and the backend may have closed it since.
+        list.retain(|i| i.since.elapsed() < self.idle_limit && i.conn.alive());
+        let settled = list.iter().rposition(|i| i.since.elapsed() >= SETTLED)?;
+        Some(list.remove(settled).conn)
     }
 
     /// Keeps a connection whose exchange is over, if it can carry another.
@@ -241,7 +297,7 @@
         let limit = || self.connect_limit.min(until.saturating_duration_since(Instant::now()));
         let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
         let slot = slot.map_err(|_| Outcome::Skipped)?;
-        match tokio::time::timeout(limit(), Conn::open(address, slot)).await {
+        match tokio::time::timeout(limit(), Conn::open(address, slot, self.buffer)).await {
             Ok(Ok(conn)) => Ok(conn),
             Ok(Err(e)) if e.downcast_ref::<io::Error>().is_some_and(out_of_descriptors) => {
                 Err(Outcome::Skipped)
@@ -261,23 +317,23 @@
         if !wanted() {
             return (Outcome::NotConnected.into(), None);
         }
-        let written = conn.socket.written();
+        let (written, read) = (conn.socket.written(), conn.socket.read());
         let left = errand.until.saturating_duration_since(Instant::now());
         let request = errand.call.request(errand.address, left);
-        let answer = tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT)).await;
-        let finish = match answer {
-            Ok(Ok(answer)) => finish(answer),
+        let answer = tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT, BODY_TIME)).await;
+        let outcome = match answer {
+            Ok(Ok(answer)) => return (finish(answer), Some(conn)),
             // Not one byte of it left this node: it never ran.
-            _ if conn.socket.written() == written => return (Outcome::NotConnected.into(), None),
-            Err(_) => return (Outcome::TimedOut.into(), None),
-            // Served in part or past the limit is no answer; what was written may have run.
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return (Outcome::Error.into(), None),
-            Ok(Err(_)) => {
+            _ if conn.socket.written() == written => Outcome::NotConnected,
+            // What was written may have run. A backend that says anything at all is not silent.
+            Err(_) if conn.socket.read() == read => Outcome::TimedOut,
+            Err(_) | Ok(Err(Failure::Spoilt)) => Outcome::Error,
+            Ok(Err(Failure::Broken(_))) => {
                 self.release(errand.backend);
-                return (Outcome::Reset.into(), None);
+                Outcome::Reset
             }
         };
-        (finish, Some(conn))
+        (outcome.into(), None)
     }
 
     /// Asks a backend whether it is there.
@@ -301,12 +357,13 @@
         };
         let left = until.saturating_duration_since(Instant::now());
         let request = call.request(address, left);
-        match tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT)).await {
+        match tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT, BODY_TIME)).await {
             Err(_) => {
                 self.release(backend);
                 (Outcome::TimedOut.into(), None)
             }
-            Ok(Err(_)) => {
+            Ok(Err(Failure::Spoilt)) => (Outcome::Error.into(), None),
+            Ok(Err(Failure::Broken(_))) => {
                 self.release(backend);
                 (Outcome::Reset.into(), None)
             }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -295,7 +295,7 @@
     let text = text.trim().trim_start_matches("TEXT");
     for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
         if let Some(place) = load_place(&mut load, name.trim()) {
-            *place = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+            *place = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
         }
     }
     load
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// Longer than a connection to a backend must be quiet for after an answer to be used again.
+pub fn quiet_moment() {
+    thread::sleep(Duration::from_millis(50));
+}
+
 /// A socket that connects, as the system lists it.
 pub const SYN_SENT: &str = "02";
 
@@ -91,6 +96,8 @@
     SayAndClose(Vec<u8>),
     /// Writes this and closes a moment after the other side has read it.
     SayAndCloseLater(Vec<u8>),
+    /// Writes this, and the rest so much later.
+    SayAndThen(Vec<u8>, Duration, Vec<u8>),
     /// Keeps the connection open and says nothing.
     Silent,
 }
@@ -181,6 +188,11 @@
                             thread::sleep(Duration::from_millis(50));
                             break;
                         }
+                        Act::SayAndThen(bytes, wait, rest) => {
+                            let _ = stream.write_all(&bytes);
+                            thread::sleep(wait);
+                            let _ = stream.write_all(&rest);
+                        }
                         Act::Silent => {}
                     }
                 }
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -116,6 +116,7 @@
         assert_eq!(client.answer().unwrap().status(), 200);
     }
     assert_eq!(record.open_now(), 2, "two connections stand idle");
+    quiet_moment();
     back.store(true, Ordering::SeqCst);
     assert_eq!(clients[0].ask(&request("bid", 900)).status(), 502, "cut, and it may have run");
     assert_eq!(clients[0].ask(&request("bid", 900)).status(), 200, "sent on the other stale connection");
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -20,6 +20,7 @@
         let answer = client.ask(request);
         assert_eq!(answer.status(), 200);
         assert!(answer.body == body, "the body changed on its way");
+        quiet_moment();
     }
     let seen = record.seen.lock().unwrap();
     assert_eq!(seen[0].first_line, "POST /api?lot=7&x=%20y HTTP/1.1");
--- a/tests/node_rude.rs
+++ b/tests/node_rude.rs
@@ -137,8 +137,10 @@
             strangers.push(stranger);
         }
         assert_eq!(usual.ask(&request("bid", 900)).status(), 200, "round {round}");
+        quiet_moment();
         assert_eq!(ask(node.address, &request("page", 4000)).status(), 200, "round {round}");
         assert!(node.descriptors() <= 256, "{} descriptors", node.descriptors());
+        quiet_moment();
         // A connection to a backend is dearer than a stranger's: none is made anew for these.
         assert!(record.opened.load(Ordering::SeqCst) <= 4, "{:?}", record.opened);
     }
