--- a/src/balance.rs
+++ b/src/balance.rs
@@ -895,7 +895,7 @@
             self.keys.note(mix(key));
         }
         self.admission.retry = (self.admission.retry + 0.1).min(10.0);
-        self.admission.spill = (self.admission.spill + 0.1).min(10.0);
+        self.admission.spill = (self.admission.spill + 0.02).min(10.0);
         let id = request.id;
         let aim_at = now + (aim - age).max(0.0);
         let open = Open { request, arrived: now, aim_at, worth, finished: false, attempts: Vec::new() };
@@ -995,13 +995,13 @@
     }
 
     /// CRAT: earliest PRAT - now + T + chance when every backend is congested, T + chance when caps
-    /// block.
+    /// block. T is a quarter of the aim: who comes back by then can still be served within it.
     fn crat(&mut self, now: f64, aim: f64) -> f64 {
         let up = || self.backends.iter().filter(|b| b.up);
         let open = up().any(|b| !b.record.congested);
         let prat = up().map(|b| b.record.prat).fold(f64::INFINITY, f64::min);
         let wait = if open || !prat.is_finite() { 0.0 } else { (prat - now).max(0.0) };
-        let t = aim.min(self.s.max_retry_after_ms / 2.0);
+        let t = (aim / 4.0).min(self.s.max_retry_after_ms / 2.0);
         (wait + t * (1.0 + self.rng.f64())).min(self.s.max_retry_after_ms)
     }
 
@@ -1059,14 +1059,10 @@
             }
             if trial {
                 // Any answer at all shows that it can be reached; called off says nothing.
+                let answered = matches!(outcome, Outcome::Done | Outcome::Error | Outcome::Full);
                 match outcome {
                     Outcome::Cancelled | Outcome::Skipped => self.backends[i].record.trial_out = false,
-                    o => self.trial_over(
-                        now,
-                        i,
-                        matches!(o, Outcome::Done | Outcome::Error | Outcome::Full),
-                        out,
-                    ),
+                    _ => self.trial_over(now, i, answered, out),
                 }
             } else if !own_stall {
                 self.learn(now, i, class, (outcome, in_aim, elapsed), worth, out);
@@ -1146,7 +1142,8 @@
                     l.answer(elapsed);
                 }
             }
-            Outcome::Cancelled | Outcome::Skipped => return,
+            // What is called off, or garbled on its way, says nothing of load.
+            Outcome::Cancelled | Outcome::Skipped | Outcome::Error => return,
             _ => {}
         }
         let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
@@ -1174,7 +1171,9 @@
         let floor = 0.5 / f64::from(self.s.instances.max(1));
         let fleet = self.admission.strain;
         let shrink = 0.5 * strain * (2.0 * fleet / TARGET_STRAIN).min(1.0);
-        b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
+        if outcome != Outcome::Reset {
+            b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
+        }
         self.fleet_failing += 0.02 * (f64::from(u8::from(failed)) - self.fleet_failing);
         if !matches!(outcome, Outcome::Done) && !failed {
             return;
