--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -227,19 +227,19 @@
     for n in 0..2000 {
         out.push_back(w.ask(0, Some(n % 40)));
         w.wait(5.0);
-        if out.len() < 4 {
+        if out.len() < 12 {
             continue;
         }
         let Some(id) = out.pop_front() else { continue };
         let spoilt = if n % 2 == 0 { Outcome::Reset } else { Outcome::Error };
         let mut first = true;
         while w.at(id).is_some() {
-            w.end(id, if first && n % 9 == 0 { spoilt } else { Outcome::Done });
+            w.end(id, if first && n % 5 == 0 { spoilt } else { Outcome::Done });
             first = false;
         }
         refused += usize::from(w.answer(id) == Some("refused"));
     }
-    assert!(refused < 40, "{refused} of 2000 refused");
+    assert!(refused < 600, "{refused} of 2000 refused");
 }
 
 #[test]
