--- a/src/balance.rs
+++ b/src/balance.rs
@@ -199,12 +199,8 @@
 
     /// Part of the traffic that is for this key. One meeting says nothing.
     fn share(&self, key: u64) -> f64 {
-        let seen = self
-            .rows
-            .iter()
-            .zip(KeyCounts::slots(key))
-            .map(|(row, slot)| row[slot])
-            .fold(f32::MAX, f32::min);
+        let [a, b] = KeyCounts::slots(key);
+        let seen = self.rows[0][a].min(self.rows[1][b]);
         f64::from(seen - 1.0).max(0.0) / self.total.max(KeyCounts::EVIDENCE)
     }
 }
@@ -221,9 +217,8 @@
     high: f64,
     /// The same in easy times: follows it down at once and up by a hundredth a second.
     usual: f64,
-    /// How often clients allowed each hundredth of the deadline, and the hundredth allowed most.
-    allowed: Vec<u32>,
-    common: usize,
+    /// How often clients allowed first tries each hundredth of the deadline; it fades.
+    allowed: Vec<f64>,
     asked: f64,
     served: f64,
     /// Share of recent attempts, over all backends, that were turned away, late or lost.
@@ -231,31 +226,28 @@
 }
 
 impl Learned {
-    /// Time that a client has spent on earlier tries. First tries are all given the same time, the most
-    /// common one; a try given less, or more (the client's last), shows by its end when the first
-    /// began.
-    fn age(&mut self, given: f64, deadline: f64) -> f64 {
-        if self.allowed.is_empty() {
-            self.allowed = vec![0; 101];
+    /// Time that a client has spent on earlier tries. First tries are given common times; a try given another
+    /// (the client's last) shows by its end when the first began. Where clients mark retries (`retry` is
+    /// told) a first try may be given any time, and a retry is young if some first tries are given as much:
+    /// many may hurry at once. It hurts where clients in a hurry come back with what is left of more.
+    fn age(&mut self, given: f64, deadline: f64, retry: Option<bool>) -> f64 {
+        self.allowed.resize(101, 0.0);
+        let bin = (given / deadline * 100.0).round().clamp(0.0, 100.0) as usize;
+        if retry != Some(true) {
+            self.allowed.iter_mut().for_each(|n| *n *= 0.998);
+            self.allowed[bin] += 1.0;
         }
-        let bin = ((given / deadline * 100.0).round().clamp(0.0, 100.0)) as usize;
-        self.allowed[bin] += 1;
-        if self.allowed[bin] > self.allowed[self.common] {
-            self.common = bin;
-        }
-        if self.allowed[bin] > 1000 {
-            self.allowed.iter_mut().for_each(|n| *n /= 2);
-        }
-        let known = self.allowed[self.common] >= 8 && bin.abs_diff(self.common) > 2;
-        if known { (deadline - given).max(0.0) } else { 0.0 }
+        let most = self.allowed.iter().copied().fold(0.0, f64::max);
+        let near: f64 = self.allowed[bin.saturating_sub(2)..=(bin + 2).min(100)].iter().sum();
+        let common = most < 8.0 || near > most * if retry.is_some() { 0.05 } else { 0.5 };
+        if retry == Some(false) || common { 0.0 } else { (deadline - given).max(0.0) }
     }
 
     fn answer(&mut self, elapsed: f64) {
         let step = if self.seen < 20 { 1.0 / (self.seen as f64 + 1.0) } else { 0.02 };
         self.seen += 1;
         if self.seen < 20 {
-            self.high = self.mean;
-            self.usual = self.mean;
+            (self.high, self.usual) = (self.mean, self.mean);
         }
         self.high *= if elapsed > self.high { 1.02 } else { 0.995 };
         self.spread += step * ((elapsed - self.mean).abs() - self.spread);
@@ -566,7 +558,6 @@
         self.ticked = now;
         out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
         let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
-        let any_cold = self.backends.iter().any(|b| b.up && cold(b));
         // What a warm backend serves for this node: the yardstick of the cold budget.
         let warm = self.backends.iter().filter(|b| b.up && !b.record.congested && !cold(b)).count();
         let keep = (-seconds / 5.0_f64).exp();
@@ -575,12 +566,10 @@
             self.warm_rate = self.warm_rate * keep + rate * (1.0 - keep);
         }
         self.warm_count = 0.0;
-        if any_cold {
-            for i in 0..self.backends.len() {
-                let rate = self.cold_rate(now, i);
-                let b = &mut self.backends[i];
-                b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
-            }
+        for i in 0..self.backends.len() {
+            let rate = self.cold_rate(now, i);
+            let b = &mut self.backends[i];
+            b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
         }
         self.keys.fade(seconds);
         self.place(now);
@@ -844,7 +833,8 @@
         if let Some(l) = self.learned.get_mut(request.class) {
             // A client in a hurry looks like one at its last try. Where a late answer still has worth, the
             // doubt is the client's: held for old, such clients were all shed in easy times.
-            age = if late_worth > 0.0 { 0.0 } else { l.age(given, deadline) };
+            let retry = self.s.marks_retry.then_some(request.retry);
+            age = if late_worth > 0.0 { 0.0 } else { l.age(given, deadline, retry) };
             l.asked += if age > 0.0 { 0.0 } else { 1.0 };
         }
         let over = self.over_share(request.tenant, age == 0.0 && !request.retry);
@@ -1019,6 +1009,7 @@
         a.never_ran = never_ran(&self.s, outcome);
         open.finished |= last;
         let (backend, timeout, trial, class) = (a.backend, a.timeout, a.trial, open.request.class);
+        let allowed = open.aim_at.min(open.request.deadline_ms) - a.sent;
         let in_aim = outcome == Outcome::Done && now <= open.aim_at;
         let worth = open.worth;
         // A time-out that was noticed long after it was due is this node's own stall.
@@ -1048,7 +1039,7 @@
                     _ => self.trial_over(now, i, answered, out),
                 }
             } else if !own_stall {
-                self.learn(now, i, class, (outcome, in_aim, elapsed), worth, out);
+                self.learn(now, i, class, (outcome, in_aim, elapsed, allowed), worth, out);
             }
         }
         if outcome == Outcome::Done
@@ -1106,13 +1097,19 @@
         now: f64,
         i: usize,
         class: usize,
-        (outcome, in_aim, elapsed): (Outcome, bool, f64),
+        (outcome, in_aim, elapsed, allowed): (Outcome, bool, f64, f64),
         worth: f64,
         out: &mut Vec<Action>,
     ) {
         let window = self.window();
+        let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
+        // That a client in a hurry did not wait says nothing of the backend: held for failures, many would
+        // close backends and admission to all. A silent one shows by those that wait; it hurts where none do.
+        let hurried = allowed < aim / 2.0
+            && self.learned.get(class).is_some_and(|l| l.seen >= 20 && allowed < l.mean + 2.0 * l.spread);
         // Time-outs count as answers that took at least so long: left out, they would make n ever shorter.
         if matches!(outcome, Outcome::Done | Outcome::TimedOut)
+            && !hurried
             && let Some(l) = self.learned.get_mut(class)
         {
             l.answer(elapsed);
@@ -1145,7 +1142,9 @@
                 return;
             }
         }
-        let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
+        if hurried && outcome == Outcome::TimedOut {
+            return;
+        }
         let strain = match outcome {
             Outcome::Done if in_aim => {
                 // Strain starts half-way, as ratios go, from the class's usual time to its aim: holding
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -195,6 +195,8 @@
     pub connect_timeout_ms: f64,
     /// CPU that this node may use in a second, in microseconds; 0 for no limit told.
     pub cpu_us_per_s: f64,
+    /// Clients mark their retries: a request without the mark is a first try.
+    pub marks_retry: bool,
     /// The part of its worth that a request over its tenant's share keeps.
     pub over_share_worth: f64,
     /// Worth is counted by work rather than by request.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -458,6 +458,7 @@
         conn_idle_ms: f("limits.connIdleMs", 15_000.0)?,
         connect_timeout_ms: f("limits.connectTimeoutMs", 250.0)?,
         cpu_us_per_s: f("limits.cpuUsPerS", 0.0)?,
+        marks_retry: truth(&v, "clientHabits.marksRetry")?,
         over_share_worth: f("overShareWorth", 1.0)?,
         worth_by_work: by_work,
         warm_keys: truth(&v, "familyInfo.warmKeys")?,
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -906,3 +906,28 @@
         "{priced} of 200 cross where it is priced, {free} elsewhere"
     );
 }
+
+/// Sixty patient requests answered within the aim, sixty for which clients allow next to nothing and do not wait,
+/// and sixty patient ones again: how many of the last two were sent.
+fn hurry(marks_retry: bool, retry: bool) -> (usize, usize) {
+    let classes = vec![class(400.0, 1000.0, Effect::Safe)];
+    let mut w = World::with_backends(Settings { classes, marks_retry, ..settings() }, 1, 4);
+    let mut play = |given: f64, retry: bool, outcome: Outcome| {
+        let sent = |n| {
+            let id = w.ask_as(0, Some(n), given, None, retry);
+            w.wait(60.0);
+            w.end(id, outcome);
+            !w.asked[&id].attempts.is_empty()
+        };
+        (0..60).map(sent).filter(|sent| *sent).count()
+    };
+    assert_eq!(play(1000.0, false, Outcome::Done), 60);
+    (play(50.0, retry, Outcome::TimedOut), play(1000.0, false, Outcome::Done))
+}
+
+#[test]
+fn clients_that_hurry_are_tried_and_do_no_harm_where_retries_are_marked() {
+    assert_eq!(hurry(true, false), (60, 60), "first tries are young, whatever they are given");
+    assert_eq!(hurry(true, true), (0, 60), "a retry with less than any first try is an old one");
+    assert!(hurry(false, false).0 < 40, "where nothing is marked those given less may be last tries");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,7 @@
         connect_timeout_ms: 250.0,
         cpu_us_per_s: 0.0,
         over_share_worth: 0.1,
+        marks_retry: false,
         worth_by_work: false,
         warm_keys: false,
         cold_ms: 20_000.0,
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -226,3 +226,57 @@
     let new = record.opened.load(SeqCst) - before;
     assert!(new <= 30, "{new} connections for 40 requests");
 }
+
+/// Plays requests of one class side by side, each on a connection of its own: `at_once` of them at a time.
+fn play_many(node: &Node, class: &str, given_ms: u64, count: usize, at_once: usize) -> Vec<u16> {
+    let address = node.address;
+    let mut statuses = Vec::new();
+    for _ in 0..count.div_ceil(at_once) {
+        let asking: Vec<_> = (0..at_once)
+            .map(|_| {
+                let bytes = request(class, given_ms);
+                thread::spawn(move || attempt(address, &bytes).map_or(0, |m| m.status()))
+            })
+            .collect();
+        statuses.extend(asking.into_iter().map(|a| a.join().unwrap()));
+    }
+    statuses
+}
+
+#[test]
+fn first_tries_in_a_hurry_are_served_where_retries_are_marked() {
+    let record = Record::default();
+    let addresses = backends(3, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["clientHabits"]["marksRetry"] = true.into();
+    });
+    let usual = play_many(&node, "page", 4000, 40, 4);
+    assert!(usual.iter().all(|s| *s == 200), "{usual:?}");
+    // Held for last tries, they would be older than the aim, and of no worth.
+    let hurried = play_many(&node, "page", 1500, 40, 4);
+    assert!(hurried.iter().all(|s| *s == 200), "{hurried:?}");
+}
+
+#[test]
+fn clients_that_do_not_wait_close_no_backend_to_those_that_do() {
+    let record = Record::default();
+    let addresses = backends(3, &record, |_, _| {
+        thread::sleep(Duration::from_millis(150));
+        ok(b"x")
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let mut node = Node::start(discovery.address, |c| {
+        c["settings"]["clientHabits"]["marksRetry"] = true.into();
+    });
+    let patient = |node: &Node| play_many(node, "page", 4000, 40, 4).iter().filter(|s| **s == 200).count();
+    assert_eq!(patient(&node), 40);
+    let hurried = play_many(&node, "page", 60, 60, 4);
+    assert!(hurried.iter().all(|s| *s != 200), "{hurried:?}");
+    assert!(record.count() > 80, "{} written: those in a hurry are tried", record.count());
+    assert_eq!(patient(&node), 40);
+    node.terminate();
+    assert!(node.ended().success());
+    let log = node.log();
+    assert!(!log.contains("congested"), "{log}");
+}
