--- a/src/balance.rs
+++ b/src/balance.rs
@@ -917,7 +917,7 @@
             // little.
             let doubt = b.record.congested || b.record.doubt > 0;
             if doubt && repeats && self.admission.retry >= 1.0 {
-                timeout = timeout.min(l.mean + 4.0 * l.spread);
+                timeout = timeout.min((l.mean + 4.0 * l.spread).max(2.0 * self.s.tick_ms));
             }
         }
         if timeout < self.s.tick_ms {
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -490,6 +490,22 @@
     .into_bytes()
 }
 
+/// Plays requests of one class side by side, each on a connection of its own: `at_once` of them at a time.
+pub fn play_many(node: &Node, class: &str, given_ms: u64, count: usize, at_once: usize) -> Vec<u16> {
+    let address = node.address;
+    let mut statuses = Vec::new();
+    for _ in 0..count.div_ceil(at_once) {
+        let asking: Vec<_> = (0..at_once)
+            .map(|_| {
+                let bytes = request(class, given_ms);
+                thread::spawn(move || attempt(address, &bytes).map_or(0, |m| m.status()))
+            })
+            .collect();
+        statuses.extend(asking.into_iter().map(|a| a.join().unwrap()));
+    }
+    statuses
+}
+
 pub fn loopback(port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
