Hold an attempt for hurried by what the client allows alone

Balancer::on_ended told hurried attempts by what an old retry had left to its aim too, so that its time-outs were no strain.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1009,7 +1009,7 @@
         a.never_ran = never_ran(&self.s, outcome);
         open.finished |= last;
         let (backend, timeout, trial, class) = (a.backend, a.timeout, a.trial, open.request.class);
-        let allowed = open.aim_at.min(open.request.deadline_ms) - a.sent;
+        let allowed = open.request.deadline_ms - a.sent;
         let in_aim = outcome == Outcome::Done && now <= open.aim_at;
         let worth = open.worth;
         // A time-out that was noticed long after it was due is this node's own stall.
