Lay out the workspace: decisions, adapter, node and stand-ins each a crate

Many subsystems are to move in, and everything was one package. Moves only, but for the circle between driver and peers, which is gone (main hands on what peers receive), and the node being a library with a three-line program, so that tools can run it. The stand-ins of the tests are a crate with a file a concern.

--- a/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -1,4 +1,4 @@
-//! Every decision of the balancer. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of the balancer. Its types, events and actions are in the module `interface`.
 //!
 //! Read it top to bottom: the failure record and the learned cap of one backend, the cold ramp, the fleet
 //! and its keyed candidates, admission, then the life of a request. Two gates keep the four rules: every
--- a/src/lib.rs
+++ b/crates/birchspoke/src/lib.rs
@@ -44,8 +44,3 @@
 pub mod wire;
 
 pub use balance::Balancer;
-
-/// The README's example is a test too.
-#[doc = include_str!("../README.md")]
-#[cfg(doctest)]
-pub struct Readme;
--- a/src/node/main.rs
+++ b/crates/node/src/lib.rs
@@ -1,4 +1,5 @@
-//! One node: the decisions of the crate `birchspoke` on real sockets.
+//! One node: the decisions of the crate `birchspoke` on real sockets. Sockets, timers and files are here; no
+//! decision is.
 
 mod config;
 mod discovery;
@@ -106,7 +107,12 @@
     spawn_local(reload(hangup, told));
     if let Some(peers) = peers {
         let driver = driver.clone();
-        spawn_local(async move { peers.listen(&driver).await });
+        spawn_local(async move {
+            loop {
+                let (from, bytes) = peers.receive().await;
+                driver.take(Input::Message(from, bytes));
+            }
+        });
     }
     spawn_local(async move {
         let mut turn = tokio::time::interval(SWEEP);
@@ -139,7 +145,8 @@
     Ok(())
 }
 
-fn main() -> ExitCode {
+/// Runs a node from its start to its end, in this process.
+pub fn main() -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
--- a/src/node/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,9 +1,7 @@
 //! Datagrams between nodes.
 
-use crate::driver::{Driver, Input};
 use crate::log;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
@@ -49,16 +47,8 @@
         }
     }
 
-    /// Hands on what arrives.
-    pub async fn listen(&self, driver: &Rc<Driver>) {
-        loop {
-            let (from, bytes) = self.receive().await;
-            driver.take(Input::Message(from, bytes));
-        }
-    }
-
     /// The next message of a node of the tier; strangers and overlong datagrams are not heard.
-    async fn receive(&self) -> (u32, Vec<u8>) {
+    pub async fn receive(&self) -> (u32, Vec<u8>) {
         let mut buffer = [0_u8; LONGEST + 1];
         loop {
             let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
--- /dev/null
+++ b/crates/stand-ins/src/client.rs
@@ -0,0 +1,94 @@
+//! Clients: a connection, a request, many side by side.
+
+use crate::PATIENCE;
+use crate::http::Message;
+use crate::node::Node;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+
+/// A client's connection.
+pub struct Client {
+    /// Its socket.
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    /// Connects, or panics.
+    pub fn connect(address: SocketAddr) -> Client {
+        Client::try_connect(address).unwrap()
+    }
+
+    /// Connects, if it can.
+    pub fn try_connect(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Some(Client { stream, reader })
+    }
+
+    /// Sends bytes; false where the connection is gone.
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// The answer, if a whole one comes.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
+    /// Sends and waits for the answer, or panics.
+    pub fn ask(&mut self, bytes: &[u8]) -> Message {
+        assert!(self.send(bytes));
+        self.answer().expect("an answer")
+    }
+}
+
+/// One request on a connection of its own.
+pub fn attempt(address: SocketAddr, bytes: &[u8]) -> Option<Message> {
+    let mut client = Client::try_connect(address)?;
+    client.send(bytes);
+    client.answer()
+}
+
+/// The same, or panics.
+pub fn ask(address: SocketAddr, bytes: &[u8]) -> Message {
+    attempt(address, bytes).expect("an answer")
+}
+
+/// A request of a class, in the protocol's form.
+pub fn request(class: &str, expires_ms: u64) -> Vec<u8> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let head = format!(
+        "Host: api.internal\r\nX-Trace-Id: {n:016x}\r\nX-Qos: {class}\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Object: o{n}\r\n"
+    );
+    match class {
+        "page" => format!("GET /api HTTP/1.1\r\n{head}\r\n"),
+        "pay" => {
+            format!(
+                "POST /api HTTP/1.1\r\n{head}Idempotency-Key: {n:032x}\r\nContent-Length: 4\r\n\r\nbody"
+            )
+        }
+        _ => format!("POST /api HTTP/1.1\r\n{head}Content-Length: 4\r\n\r\nbody"),
+    }
+    .into_bytes()
+}
+
+/// Plays requests of one class side by side, each on a connection of its own: `at_once` of them at a time.
+pub fn play_many(node: &Node, class: &str, given_ms: u64, count: usize, at_once: usize) -> Vec<u16> {
+    let address = node.address;
+    let mut statuses = Vec::new();
+    for _ in 0..count.div_ceil(at_once) {
+        let asking: Vec<_> = (0..at_once)
+            .map(|_| {
+                let bytes = request(class, given_ms);
+                thread::spawn(move || attempt(address, &bytes).map_or(0, |m| m.status()))
+            })
+            .collect();
+        statuses.extend(asking.into_iter().map(|a| a.join().unwrap()));
+    }
+    statuses
+}
--- /dev/null
+++ b/crates/stand-ins/src/discovery.rs
@@ -0,0 +1,110 @@
+//! Discovery: the list of backends, told as a whole to whoever asks or watches.
+
+use crate::http::{Message, reply};
+use crate::loopback;
+use serde_json::{Value, json};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A line of the list.
+pub fn target(uid: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": "m", "pod_group": 0,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+/// All of `addresses`, up, named by their place.
+pub fn all_up(addresses: &[SocketAddr]) -> Vec<Value> {
+    addresses.iter().enumerate().map(|(n, a)| target(&format!("s-{n}"), *a, "up")).collect()
+}
+
+#[derive(Default)]
+struct ListState {
+    rev: u64,
+    targets: Vec<Value>,
+    silent: bool,
+    hasty: bool,
+    calls: u32,
+}
+
+/// A fake discovery that always tells the whole list.
+#[derive(Clone)]
+pub struct Discovery {
+    state: Arc<(Mutex<ListState>, Condvar)>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Discovery {
+    /// Starts one with this list.
+    pub fn start(targets: Vec<Value>) -> Discovery {
+        Discovery::start_at(loopback(0), targets)
+    }
+
+    /// The same at an address.
+    pub fn start_at(address: SocketAddr, targets: Vec<Value>) -> Discovery {
+        let listener = TcpListener::bind(address).unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = ListState { rev: 1, targets, ..ListState::default() };
+        let discovery = Discovery { state: Arc::new((Mutex::new(state), Condvar::new())), address };
+        let own = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let own = own.clone();
+                thread::spawn(move || own.converse(stream.unwrap()));
+            }
+        });
+        discovery
+    }
+
+    fn converse(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(message) = Message::read(&mut reader) {
+            let number = |name: &str| {
+                let (_, rest) = message.first_line.split_once(name)?;
+                rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+            };
+            let after = number("after=").unwrap_or(0);
+            let end = Instant::now() + Duration::from_millis(number("wait_ms=").unwrap_or(0));
+            let (lock, changed) = &*self.state;
+            let mut state = lock.lock().unwrap();
+            state.calls += 1;
+            while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
+                state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
+            }
+            let fresh = state.rev > after;
+            let targets = if fresh { state.targets.clone() } else { Vec::new() };
+            let body = json!({"rev": state.rev, "all": fresh, "targets": targets}).to_string();
+            drop(state);
+            if stream.write_all(&reply("200 OK", "", body.as_bytes())).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Another list, told to who watches.
+    pub fn set(&self, targets: Vec<Value>) {
+        let mut state = self.state.0.lock().unwrap();
+        state.rev += 1;
+        state.targets = targets;
+        self.state.1.notify_all();
+    }
+
+    /// Says nothing any more, or answers again.
+    pub fn silent(&self, silent: bool) {
+        self.state.0.lock().unwrap().silent = silent;
+        self.state.1.notify_all();
+    }
+
+    /// Answers watches at once, news or not.
+    pub fn hasty(&self, hasty: bool) {
+        self.state.0.lock().unwrap().hasty = hasty;
+    }
+
+    /// Calls that were made so far.
+    pub fn calls(&self) -> u32 {
+        self.state.0.lock().unwrap().calls
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/node.rs
@@ -0,0 +1,155 @@
+//! A node as its operator has it: the real program, its configuration file, its signals, its figures.
+
+use crate::client::attempt;
+use crate::{free_address, wait_for};
+use serde_json::{Value, json};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// Settings of a small deployment: pages are safe, bids unsafe, payments keyed.
+pub fn settings() -> Value {
+    json!({
+        "areas": ["a", "b"], "zone": "a", "instances": 1, "slotNo": 0, "tickMs": 5.0,
+        "membershipMode": "pushed",
+        "classes": [
+            {"name": "page", "semantics": "idempotent", "objectiveMs": 1500, "hardLimitMs": 4000, "value": 5},
+            {"name": "bid", "semantics": "at_most_once", "objectiveMs": 500, "hardLimitMs": 900, "value": 10},
+            {"name": "pay", "semantics": "deduplicated", "group": "all", "keyTtlMs": 5000,
+             "objectiveMs": 1500, "hardLimitMs": 4000, "value": 10},
+        ],
+        "limits": {"attemptsCap": 4, "connIdleMs": 15000.0, "connectTimeoutMs": 300.0, "mayCancel": true,
+                   "maxRetryAfterMs": 2000.0, "maxStreams": 1, "openCap": 20000, "peerMessages": true,
+                   "probing": true, "retryAfter": true, "secondCopies": true},
+        "rules": {"coldMs": 22000.0, "startCapacity": 0.14, "fallMultiple": 3.0, "fallMs": 1500.0,
+                  "drainGraceMs": 500.0, "mustAskInMs": 10000.0}
+    })
+}
+
+/// The program under test: `APPLEMILL_PROGRAM`, or what cargo has built beside this process.
+pub fn program() -> PathBuf {
+    if let Some(program) = std::env::var_os("APPLEMILL_PROGRAM") {
+        return program.into();
+    }
+    let own = std::env::current_exe().unwrap_or_default();
+    let beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("applemill"));
+    beside.into_iter().find(|p| p.is_file()).unwrap_or_else(|| "applemill".into())
+}
+
+/// A running node; it is killed when dropped.
+pub struct Node {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    child: Child,
+    file: PathBuf,
+    config: Value,
+}
+
+impl Node {
+    /// Starts one and waits until it says it can serve.
+    pub fn start(discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Node {
+        let node = Node::launch(discovery, change, "exec \"$0\"");
+        wait_for("/up is 200", || node.up() == 200);
+        node
+    }
+
+    /// Starts one by a shell command in which `$0` is the program.
+    pub fn launch(discovery: SocketAddr, change: impl FnOnce(&mut Value), command: &str) -> Node {
+        let address = free_address();
+        let mut config = json!({
+            "name": "n0", "listen": address.to_string(), "discovery": discovery.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 0, "all": true, "targets": []}, "settings": settings()
+        });
+        change(&mut config);
+        let name = format!("applemill-test-{}-{}.json", std::process::id(), address.ip());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, config.to_string()).unwrap();
+        let child = Command::new("/bin/sh")
+            .args(["-c", command, &program().to_string_lossy()])
+            .env("LB_CONFIG", &file)
+            .env("LB_DISCOVERY", discovery.to_string())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Node { address, child, file, config }
+    }
+
+    /// Replaces the configuration and has it read.
+    pub fn reload(&mut self, discovery: SocketAddr) {
+        self.config["discovery"] = discovery.to_string().into();
+        self.reload_text(&self.config.to_string());
+    }
+
+    /// The same with any text.
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// The status of `/up`; 0 where nothing answers.
+    pub fn up(&self) -> u16 {
+        attempt(self.address, b"GET /up HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+            .map_or(0, |m| m.status())
+    }
+
+    /// File descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Memory that it has in use.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    /// Clock ticks of CPU used so far.
+    pub fn cpu_ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// It has not ended.
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for its end.
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_for("the node ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    /// What it wrote; it must have ended.
+    pub fn log(&mut self) -> String {
+        let mut text = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        text
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
