Operator's file: a crate that reads, inherits, checks, matches and explains routes

Nobody outside the platform could run a node, and one careless edit must never let a bid run twice. Not yet used by the node.

--- /dev/null
+++ b/crates/routes/src/explain.rs
@@ -0,0 +1,240 @@
+//! What becomes of one request by the file, told in words: its route, those passed over, its values and the longest
+//! course it can take.
+
+use crate::effective::time;
+use crate::matcher::{Asked, Found, Header, Miss, strictness, takes};
+use crate::model::{Effect, Retry, Source};
+use crate::path::{normal_host, normal_path};
+use crate::{MARGIN_MS, Rules};
+use std::cmp::Reverse;
+use std::fmt::Write;
+
+/// Routes passed over that are told of one by one.
+const TOLD: usize = 20;
+/// Columns of the picture.
+const WIDTH: usize = 48;
+
+/// A request to explain.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Its path, with or without query.
+    pub path: String,
+    /// Its headers as they are written.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Request {
+    /// Reads `POST /api/bid` and lines such as `Host: auction.lv`.
+    ///
+    /// # Errors
+    /// What is wrong with it, for people.
+    pub fn read(line: &str, headers: &[String]) -> Result<Request, String> {
+        let mut words = line.split_whitespace();
+        let (Some(method), Some(path), None) = (words.next(), words.next(), words.next()) else {
+            return Err(format!("{line:?} is no method and path, such as 'POST /api/bid'"));
+        };
+        let headers = headers.iter().map(|h| {
+            let (name, value) =
+                h.split_once(':').ok_or_else(|| format!("{h:?} is no header, such as 'Host: a.lv'"))?;
+            Ok((name.trim().to_ascii_lowercase(), value.trim().to_owned()))
+        });
+        Ok(Request {
+            method: method.into(),
+            path: path.into(),
+            headers: headers.collect::<Result<_, String>>()?,
+        })
+    }
+
+    fn header(&self, name: &str) -> Header<'_> {
+        let mut all = self.headers.iter().filter(|(n, _)| n == name);
+        match (all.next(), all.next()) {
+            (None, _) => Header::Absent,
+            (Some((_, value)), None) => Header::Once(value),
+            _ => Header::Unclear,
+        }
+    }
+}
+
+/// The explanation, and whether some route takes the request.
+pub fn explain(rules: &Rules, request: &Request) -> (String, bool) {
+    let mut out = String::new();
+    // Writing to a String cannot fail.
+    let taken = tell(rules, request, &mut out).unwrap_or(false);
+    (out, taken)
+}
+
+fn tell(rules: &Rules, request: &Request, out: &mut String) -> Result<bool, std::fmt::Error> {
+    let raw = request.path.split(['?', '#']).next().unwrap_or_default();
+    let path = match normal_path(raw) {
+        Ok(path) => path,
+        Err(why) => {
+            writeln!(out, "{} {}: answered 400 at once, {why}", request.method, request.path)?;
+            return Ok(false);
+        }
+    };
+    let host = match request.header("host") {
+        Header::Absent => None,
+        Header::Once(host) => match normal_host(host) {
+            Some(host) => Some(host),
+            None => {
+                writeln!(out, "Host {host:?}: answered 400 at once, it is no host")?;
+                return Ok(false);
+            }
+        },
+        Header::Unclear => {
+            writeln!(out, "answered 400 at once: Host is there more than once")?;
+            return Ok(false);
+        }
+    };
+    let header = |name: &str| request.header(name);
+    let asked = Asked { host: host.as_deref(), path: &path, method: &request.method, header: &header };
+    writeln!(out, "{} {path}, host {}", request.method, host.as_deref().unwrap_or("(none)"))?;
+    let found = rules.find(&asked);
+    let chosen = match &found {
+        Found::Route(n) => Some(*n),
+        Found::Nothing => {
+            writeln!(out, "\nno route takes it: answered 404")?;
+            None
+        }
+        Found::Unclear(name) => {
+            writeln!(
+                out,
+                "\nanswered 400 at once: a route goes by {name:?}, which is there more than once"
+            )?;
+            None
+        }
+    };
+    if let Some((n, route)) = chosen.and_then(|n| Some((n, rules.file.routes.get(n)?))) {
+        writeln!(out, "\nroute {:?}, line {}", route.name.value, route.name.at.line)?;
+        values(rules, n, out)?;
+        picture(rules, n, out)?;
+    }
+    passed_over(rules, &asked, chosen, out)?;
+    Ok(chosen.is_some())
+}
+
+fn source(source: &Source) -> String {
+    match source {
+        Source::Header(name) => format!("header {name}"),
+        Source::Segment(n) => format!("path segment {n}"),
+        Source::Value(text) => format!("always {text:?}"),
+    }
+}
+
+fn values(rules: &Rules, n: usize, out: &mut String) -> std::fmt::Result {
+    let Some(chosen) = rules.routes.get(n) else { return Ok(()) };
+    let e = &chosen.effective;
+    let mut line =
+        |name: &str, value: String, origin: String| writeln!(out, "  {name:<18} {value:<26} {origin}");
+    if let Some((held, class)) = e.class.as_ref().and_then(|h| Some((h, rules.file.classes.get(h.value)?)))
+    {
+        let effect = class.effect.as_ref().map_or(Effect::Unsafe, |e| e.value);
+        let word = format!("{:?} ({})", class.name.value, format!("{effect:?}").to_lowercase());
+        line("class", word, held.origin())?;
+        if let Some(patience) = &class.patience_ms {
+            line(
+                "patience",
+                time(patience.value),
+                format!("class {:?}, line {}", class.name.value, patience.at.line),
+            )?;
+        }
+    }
+    if let Some(pool) = &e.pool {
+        line("pool", format!("{:?}", pool.value), pool.origin())?;
+    }
+    let limit = |ms: Option<f64>| ms.map_or_else(|| "off".to_owned(), time);
+    line("deadline", time(e.deadline_ms.value), e.deadline_ms.origin())?;
+    line("attempts", e.attempts.value.to_string(), e.attempts.origin())?;
+    line("attempt_timeout", limit(e.attempt_timeout_ms.value), e.attempt_timeout_ms.origin())?;
+    line("retry", e.retry.value.word().to_owned(), e.retry.origin())?;
+    line("second_copy_after", limit(e.second_copy_ms.value), e.second_copy_ms.origin())?;
+    line("body_limit", format!("{} bytes", e.body_limit.value), e.body_limit.origin())?;
+    for (name, from) in [("tenant", &e.tenant), ("key", &e.key), ("patience_from", &e.patience_from)] {
+        if let Some(from) = from {
+            line(name, source(&from.value), from.origin())?;
+        }
+    }
+    Ok(())
+}
+
+/// The longest course, drawn to scale: a line an attempt.
+fn picture(rules: &Rules, n: usize, out: &mut String) -> std::fmt::Result {
+    let Some(chosen) = rules.routes.get(n) else { return Ok(()) };
+    let e = &chosen.effective;
+    let class = e.class.as_ref().and_then(|c| rules.file.classes.get(c.value));
+    let patience = class.and_then(|c| c.patience_ms.as_ref()).map_or(e.deadline_ms.value, |p| p.value);
+    let column = |ms: f64| ((ms / patience.max(1.0)).clamp(0.0, 1.0) * WIDTH as f64).round() as usize;
+    let mut bar = |name: &str, from: f64, to: f64, mark: char, note: &str| {
+        let (begin, end) = (column(from), column(to).max(column(from) + 1));
+        let drawn = format!("{}{}", " ".repeat(begin), String::from(mark).repeat(end - begin));
+        writeln!(out, "  {name:<12}|{drawn:<w$}| {} to {}{note}", time(from), time(to), w = WIDTH + 1)
+    };
+    let end = e.deadline_ms.value - MARGIN_MS;
+    bar("client waits", 0.0, patience, '-', "")?;
+    let mut at = 0.0;
+    let worst = e.worst(rules.file.node.connect_timeout_ms);
+    for (number, term) in (1_u32..).zip(worst.iter().take(worst.len().saturating_sub(1))) {
+        let note = match e.retry.value {
+            _ if number == 1 => "",
+            Retry::MayHaveRun => ", after any failure",
+            _ => ", only if none before can have run",
+        };
+        let name = if e.attempt_timeout_ms.value.is_some() {
+            format!("attempt {number}")
+        } else {
+            "attempts".into()
+        };
+        bar(&name, at, at + term.ms, '#', note)?;
+        if number == 1
+            && let Some(delay) = e.second_copy_ms.value
+        {
+            bar("second copy", delay, delay + term.ms, '+', ", if the first has no answer by then")?;
+        }
+        at += term.ms;
+    }
+    bar("answer by", end.max(0.0), e.deadline_ms.value, '!', ", refused or failed if not served")?;
+    Ok(())
+}
+
+fn passed_over(
+    rules: &Rules,
+    asked: &Asked<'_>,
+    chosen: Option<usize>,
+    out: &mut String,
+) -> std::fmt::Result {
+    let mut others: Vec<_> = (rules.file.routes.iter().enumerate())
+        .filter(|(n, _)| Some(*n) != chosen)
+        .map(|(_, r)| (Reverse(strictness(r)), takes(r, asked), r))
+        .collect();
+    // Nearest misses first, then the stricter.
+    others.sort_by_key(|(strict, taken, _)| {
+        let near = match taken {
+            Ok(()) => 0,
+            Err(Miss::Header(_) | Miss::Unclear(_)) => 1,
+            Err(Miss::Method) => 2,
+            Err(Miss::Path) => 3,
+            Err(Miss::Host) => 4,
+        };
+        (near, *strict)
+    });
+    if !others.is_empty() {
+        writeln!(out, "\npassed over:")?;
+    }
+    for (_, taken, route) in others.iter().take(TOLD) {
+        let why = match taken {
+            Ok(()) => "takes it too, but is less strict".to_owned(),
+            Err(Miss::Host) => "another host".to_owned(),
+            Err(Miss::Path) => "another path".to_owned(),
+            Err(Miss::Method) => "another method".to_owned(),
+            Err(Miss::Header(name)) => format!("header {name:?} is absent or has another value"),
+            Err(Miss::Unclear(name)) => format!("header {name:?} is there more than once"),
+        };
+        writeln!(out, "  {:<20} line {:<6} {why}", format!("{:?}", route.name.value), route.name.at.line)?;
+    }
+    if others.len() > TOLD {
+        writeln!(out, "  and {} more", others.len() - TOLD)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/routes/src/fields.rs
@@ -0,0 +1,238 @@
+//! Every field that an operator's file may have, once: the reader knows names by it, the schema is made of it.
+
+use serde_json::{Map, Value, json};
+
+/// What a field holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Kind {
+    Text,
+    /// A whole number with a unit, as text.
+    Duration,
+    /// The same, or `off`.
+    DurationOrOff,
+    Size,
+    Count,
+    Number,
+    Flag,
+    Choice(&'static [&'static str]),
+    /// One text, or a list of them.
+    Texts,
+    /// Where a request's figure is: one of a header, a path segment or a fixed value.
+    Source,
+    /// Text to text.
+    Pairs,
+    Table(&'static [Field]),
+    Tables(&'static [Field]),
+    /// Tables by name.
+    Named(&'static [Field]),
+}
+
+/// A field and what it means.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Field {
+    pub(crate) name: &'static str,
+    pub(crate) kind: Kind,
+    pub(crate) doc: &'static str,
+}
+
+const fn f(name: &'static str, kind: Kind, doc: &'static str) -> Field {
+    Field { name, kind, doc }
+}
+
+pub(crate) const RETRY: &[&str] = &["none", "never-ran", "may-have-run"];
+pub(crate) const EFFECTS: &[&str] = &["safe", "keyed", "unsafe"];
+pub(crate) const GROUPS: &[&str] = &["pool", "zone", "cell"];
+
+const ATTEMPTS: Field =
+    f("attempts", Kind::Count, "Attempts for one request, second copies among them; 1 to 16.");
+const ATTEMPT_TIMEOUT: Field =
+    f("attempt_timeout", Kind::DurationOrOff, "The longest an attempt may take, its connect among it.");
+const DEADLINE: Field =
+    f("deadline", Kind::Duration, "From the request's head to its answer, all attempts together.");
+const RETRY_FIELD: Field = f(
+    "retry",
+    Kind::Choice(RETRY),
+    "After which attempts another may be made: those that surely never ran, or any.",
+);
+const SECOND_COPY: Field = f(
+    "second_copy_after",
+    Kind::DurationOrOff,
+    "A second attempt beside the first, if that has no answer by then.",
+);
+const BODY_LIMIT: Field = f("body_limit", Kind::Size, "The longest body of a request; 64KiB at most.");
+
+pub(crate) const DEFAULTS: &[Field] =
+    &[ATTEMPTS, ATTEMPT_TIMEOUT, DEADLINE, RETRY_FIELD, SECOND_COPY, BODY_LIMIT];
+
+pub(crate) const CLASS: &[Field] = &[
+    f(
+        "effect",
+        Kind::Choice(EFFECTS),
+        "Whether a request may run twice: safe, keyed (repeats are dropped), unsafe.",
+    ),
+    f("patience", Kind::Duration, "How long its clients wait."),
+    f("aim", Kind::Duration, "Answers within this are worth most; the patience if absent."),
+    f(
+        "worth",
+        Kind::Number,
+        "Worth of a request beside those of other classes, when not all can be served.",
+    ),
+    f("repeats_dropped_by", Kind::Choice(GROUPS), "Keyed: which servers drop a repeat together."),
+    f("repeats_dropped_for", Kind::Duration, "Keyed: how long, from the first send."),
+    ATTEMPTS,
+    ATTEMPT_TIMEOUT,
+    DEADLINE,
+    RETRY_FIELD,
+    SECOND_COPY,
+    BODY_LIMIT,
+];
+
+pub(crate) const GROUP: &[Field] = &[
+    f("class", Kind::Text, "The class of its routes."),
+    f("pool", Kind::Text, "The pool of its routes."),
+    f("tenant", Kind::Source, "Where the tenant's name is."),
+    f(
+        "key",
+        Kind::Source,
+        "Where the name of what the request is about is: the same name goes to the same servers.",
+    ),
+    f("patience_from", Kind::Source, "Where the client says how many milliseconds it waits."),
+    ATTEMPTS,
+    ATTEMPT_TIMEOUT,
+    DEADLINE,
+    RETRY_FIELD,
+    SECOND_COPY,
+    BODY_LIMIT,
+];
+
+pub(crate) const ROUTE: &[Field] = &[
+    f("name", Kind::Text, "Its name in logs and reports."),
+    f("group", Kind::Text, "A group whose values it takes over."),
+    f("host", Kind::Text, "An exact host, or `*.` and a domain: any host below it."),
+    f("path", Kind::Text, "An exact path."),
+    f("prefix", Kind::Text, "A path and all below it, by whole segments."),
+    f("method", Kind::Texts, "Methods, in capitals; all if absent."),
+    f("header", Kind::Pairs, "Headers that must be there once with just this value."),
+    f("class", Kind::Text, "The class of its requests."),
+    f("pool", Kind::Text, "The pool that serves it."),
+    f("tenant", Kind::Source, "Where the tenant's name is."),
+    f(
+        "key",
+        Kind::Source,
+        "Where the name of what the request is about is: the same name goes to the same servers.",
+    ),
+    f("patience_from", Kind::Source, "Where the client says how many milliseconds it waits."),
+    ATTEMPTS,
+    ATTEMPT_TIMEOUT,
+    DEADLINE,
+    RETRY_FIELD,
+    SECOND_COPY,
+    BODY_LIMIT,
+];
+
+pub(crate) const NODE: &[Field] = &[
+    f("name", Kind::Text, "The node's name in logs."),
+    f("zone", Kind::Text, "Its zone, one of the servers'."),
+    f("sockets", Kind::Count, "File descriptors that it may hold; 32 at least."),
+    f("memory", Kind::Size, "Memory that it may take."),
+    f("open_requests", Kind::Count, "Requests that it may hold open."),
+    f("retry_after", Kind::Flag, "Whether refusals say when to come back."),
+    f("retry_after_max", Kind::Duration, "The longest that they say."),
+    f("connect_timeout", Kind::Duration, "A connection to a server that is not made by then is not made."),
+    f("idle_timeout", Kind::Duration, "Servers close connections that stand idle for this long."),
+];
+
+pub(crate) const FLEET: &[Field] = &[
+    f("nodes", Kind::Count, "How many nodes there are."),
+    f("number", Kind::Count, "This node's number among them, from 0."),
+    f("cold_time", Kind::Duration, "A server that has just started is warm after this."),
+    f("start_capacity", Kind::Number, "Part of its capacity with which it starts, 0 to 1."),
+    f("fall_multiple", Kind::Number, "Sent more than this multiple of its present capacity ..."),
+    f("fall_time", Kind::Duration, "... for this long, it falls over."),
+];
+
+pub(crate) const LISTENER: &[Field] = &[
+    f("name", Kind::Text, "Its name in logs."),
+    f("address", Kind::Text, "Address and port."),
+    f("kind", Kind::Choice(&["http"]), "What is spoken there."),
+];
+
+pub(crate) const SERVER: &[Field] = &[
+    f("name", Kind::Text, "Its name, the same at every node; its address if absent."),
+    f("address", Kind::Text, "Address and port."),
+    f("zone", Kind::Text, "Its zone."),
+    f("cell", Kind::Count, "Its cell."),
+    f("weight", Kind::Number, "Its size beside the others'."),
+];
+
+pub(crate) const POOL: &[Field] = &[
+    f("servers", Kind::Tables(SERVER), "A fixed list of servers."),
+    f("discovery", Kind::Text, "Address and port of a discovery service, in place of a list."),
+];
+
+pub(crate) const TENANT: &[Field] =
+    &[f("rate", Kind::Number, "Requests a second within its share, over all nodes.")];
+
+pub(crate) const TOP: &[Field] = &[
+    f("node", Kind::Table(NODE), "This node."),
+    f("fleet", Kind::Table(FLEET), "The fleet it is one of, and how cold servers are to be started."),
+    f("listener", Kind::Tables(LISTENER), "Where clients connect."),
+    f("pool", Kind::Named(POOL), "Servers."),
+    f("tenant", Kind::Named(TENANT), "Tenants with a share."),
+    f(
+        "defaults",
+        Kind::Table(DEFAULTS),
+        "Values of every route, unless class, group or route has its own.",
+    ),
+    f("class", Kind::Named(CLASS), "Classes of requests."),
+    f("group", Kind::Named(GROUP), "Values of several routes."),
+    f("route", Kind::Tables(ROUTE), "Which requests go where, and how."),
+];
+
+/// A JSON Schema of the file, for editors.
+pub fn schema() -> Value {
+    let mut schema = object(TOP);
+    if let Some(top) = schema.as_object_mut() {
+        top.insert("$schema".into(), "https://json-schema.org/draft/2020-12/schema".into());
+        top.insert("title".into(), "applemill: an operator's file".into());
+    }
+    schema
+}
+
+fn object(fields: &[Field]) -> Value {
+    let properties: Map<String, Value> = fields
+        .iter()
+        .map(|field| {
+            let mut value = of_kind(field.kind);
+            if let Some(value) = value.as_object_mut() {
+                value.insert("description".into(), field.doc.into());
+            }
+            (field.name.to_owned(), value)
+        })
+        .collect();
+    json!({"type": "object", "additionalProperties": false, "properties": properties})
+}
+
+fn of_kind(kind: Kind) -> Value {
+    const DURATION: &str = r"^[0-9]+(\.[0-9]+)?(ms|s|m)$";
+    match kind {
+        Kind::Text => json!({"type": "string"}),
+        Kind::Duration => json!({"type": "string", "pattern": DURATION}),
+        Kind::DurationOrOff => json!({"type": "string", "pattern": format!("^off$|{DURATION}")}),
+        Kind::Size => json!({"type": "string", "pattern": "^[0-9]+(B|KiB|MiB|GiB)$"}),
+        Kind::Count => json!({"type": "integer", "minimum": 0}),
+        Kind::Number => json!({"type": "number", "minimum": 0}),
+        Kind::Flag => json!({"type": "boolean"}),
+        Kind::Choice(words) => json!({"enum": words}),
+        Kind::Texts => {
+            json!({"oneOf": [{"type": "string"}, {"type": "array", "items": {"type": "string"}}]})
+        }
+        Kind::Pairs => json!({"type": "object", "additionalProperties": {"type": "string"}}),
+        Kind::Source => json!({"type": "object", "minProperties": 1, "maxProperties": 1,
+            "additionalProperties": false, "properties": {"header": {"type": "string"},
+            "segment": {"type": "integer", "minimum": 1}, "value": {"type": "string"}}}),
+        Kind::Table(fields) => object(fields),
+        Kind::Tables(fields) => json!({"type": "array", "items": object(fields)}),
+        Kind::Named(fields) => json!({"type": "object", "additionalProperties": object(fields)}),
+    }
+}
--- /dev/null
+++ b/crates/routes/src/model.rs
@@ -0,0 +1,264 @@
+//! An operator's file as it is written: every value with its place, nothing inherited and nothing judged yet.
+
+use crate::report::Spot;
+use std::net::SocketAddr;
+
+/// A value and where it is written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct At<T> {
+    /// The value.
+    pub value: T,
+    /// Its place.
+    pub at: Spot,
+}
+
+/// Whether a request may take effect twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Effect {
+    /// It may run any number of times.
+    Safe,
+    /// Servers that share their memory drop repeats for a time.
+    Keyed,
+    /// It must never run twice.
+    Unsafe,
+}
+
+/// Which servers drop a keyed repeat together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DroppedBy {
+    /// Every server of the pool.
+    Pool,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// After which attempts another may be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Retry {
+    /// After none.
+    None,
+    /// After those that surely never ran.
+    NeverRan,
+    /// After any.
+    MayHaveRun,
+}
+
+impl Retry {
+    /// The word in the file.
+    pub fn word(self) -> &'static str {
+        match self {
+            Retry::None => "none",
+            Retry::NeverRan => "never-ran",
+            Retry::MayHaveRun => "may-have-run",
+        }
+    }
+}
+
+/// Where a figure of a request is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// In a header, by its lower-case name.
+    Header(String),
+    /// A segment of the path, counted from 1.
+    Segment(usize),
+    /// The same for all.
+    Value(String),
+}
+
+/// The values that are inherited: from the defaults to class, group and route.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Values {
+    /// Attempts for one request.
+    pub attempts: Option<At<u32>>,
+    /// The longest attempt in milliseconds; none inside for `off`.
+    pub attempt_timeout_ms: Option<At<Option<f64>>>,
+    /// Head to answer, in milliseconds.
+    pub deadline_ms: Option<At<f64>>,
+    /// What is retried on.
+    pub retry: Option<At<Retry>>,
+    /// When a second copy is sent, in milliseconds; none inside for `off`.
+    pub second_copy_ms: Option<At<Option<f64>>>,
+    /// The longest body in bytes.
+    pub body_limit: Option<At<u64>>,
+}
+
+/// What class, pool and figures a route or a group of routes names.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// The class.
+    pub class: Option<At<String>>,
+    /// The pool.
+    pub pool: Option<At<String>>,
+    /// Where the tenant is.
+    pub tenant: Option<At<Source>>,
+    /// Where the key is.
+    pub key: Option<At<Source>>,
+    /// Where the client's patience is.
+    pub patience_from: Option<At<Source>>,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: At<String>,
+    /// Its effect.
+    pub effect: Option<At<Effect>>,
+    /// Its clients' patience in milliseconds.
+    pub patience_ms: Option<At<f64>>,
+    /// Its aim in milliseconds.
+    pub aim_ms: Option<At<f64>>,
+    /// Its worth.
+    pub worth: Option<At<f64>>,
+    /// Who drops its repeats.
+    pub dropped_by: Option<At<DroppedBy>>,
+    /// For how long, in milliseconds.
+    pub dropped_for_ms: Option<At<f64>>,
+    /// What it hands down.
+    pub values: Values,
+}
+
+/// A group of routes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    /// Its name.
+    pub name: At<String>,
+    /// What it names.
+    pub names: Names,
+    /// What it hands down.
+    pub values: Values,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: At<String>,
+    /// Its group.
+    pub group: Option<At<String>>,
+    /// An exact host, or `*.` and a domain.
+    pub host: Option<At<String>>,
+    /// An exact path.
+    pub path: Option<At<String>>,
+    /// A path and all below it.
+    pub prefix: Option<At<String>>,
+    /// Methods; empty for all.
+    pub methods: Vec<At<String>>,
+    /// Headers by lower-case name, and their values.
+    pub headers: Vec<(At<String>, String)>,
+    /// What it names.
+    pub names: Names,
+    /// Its own values.
+    pub values: Values,
+}
+
+/// A server of a fixed list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name; its address if it has none.
+    pub name: At<String>,
+    /// Where it listens.
+    pub address: At<SocketAddr>,
+    /// Its zone.
+    pub zone: Option<At<String>>,
+    /// Its cell.
+    pub cell: Option<At<u32>>,
+    /// Its size.
+    pub weight: f64,
+}
+
+/// A pool of servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Its name.
+    pub name: At<String>,
+    /// A fixed list; empty where discovery has it.
+    pub servers: Vec<Server>,
+    /// Where discovery is.
+    pub discovery: Option<At<SocketAddr>>,
+}
+
+/// A listener.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// Its name.
+    pub name: At<String>,
+    /// Where it listens.
+    pub address: At<SocketAddr>,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: At<String>,
+    /// Requests a second within its share.
+    pub rate: f64,
+}
+
+/// The node's own figures. Times in milliseconds, sizes in bytes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: Option<At<String>>,
+    /// File descriptors that it may hold.
+    pub sockets: u32,
+    /// Memory that it may take.
+    pub memory: u64,
+    /// Requests that it may hold open.
+    pub open_requests: u32,
+    /// Refusals say when to come back.
+    pub retry_after: bool,
+    /// The longest that they say.
+    pub retry_after_max_ms: f64,
+    /// A connection not made by then is not made.
+    pub connect_timeout_ms: f64,
+    /// Servers close idle connections after this.
+    pub idle_timeout_ms: f64,
+}
+
+/// The fleet and how cold servers are started. Times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// How many nodes there are.
+    pub nodes: u32,
+    /// This node's number.
+    pub number: u32,
+    /// A server is warm after this.
+    pub cold_ms: f64,
+    /// It starts with this part of its capacity.
+    pub start_capacity: f64,
+    /// Sent more than this multiple of it ...
+    pub fall_multiple: f64,
+    /// ... for this long, it falls over.
+    pub fall_ms: f64,
+}
+
+/// A whole file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct File {
+    /// The sections that are written.
+    pub sections: Vec<At<String>>,
+    /// This node.
+    pub node: Node,
+    /// Its fleet.
+    pub fleet: Fleet,
+    /// Where clients connect.
+    pub listeners: Vec<Listener>,
+    /// Servers.
+    pub pools: Vec<Pool>,
+    /// Tenants.
+    pub tenants: Vec<Tenant>,
+    /// What every route inherits.
+    pub defaults: Values,
+    /// Classes.
+    pub classes: Vec<Class>,
+    /// Groups of routes.
+    pub groups: Vec<Group>,
+    /// Routes.
+    pub routes: Vec<Route>,
+}
--- /dev/null
+++ b/crates/routes/src/read.rs
@@ -0,0 +1,185 @@
+//! TOML to a [`File`]. Whatever cannot be read is reported and left out, and reading goes on: a file's mistakes
+//! are told all at once.
+
+mod section;
+
+pub(crate) use section::{distance, is_token};
+
+use crate::fields;
+use crate::model::{
+    At, Class, DroppedBy, Effect, File, Fleet, Group, Listener, Names, Node, Pool, Retry, Route, Server,
+    Tenant, Values,
+};
+use crate::report::{Finding, Lines, Report, Spot};
+use section::Section;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+/// A longer file is refused before it is read.
+pub const LONGEST_FILE: u64 = 8 * 1024 * 1024;
+/// Figures beyond these are a slip of the pen.
+const LONGEST_MS: f64 = 600_000.0;
+const MOST: u64 = 1_000_000_000;
+const LARGEST_SIZE: u64 = 1 << 40;
+
+type Value<'i> = Spanned<DeValue<'i>>;
+
+struct Reader {
+    lines: Lines,
+    report: Report,
+}
+
+/// Reads a file; the report has what was wrong with its form.
+pub(crate) fn read(text: &str, report: &mut Report) -> Option<File> {
+    let lines = Lines::of(text);
+    let (document, errors) = DeTable::parse_recoverable(text);
+    let broken = !errors.is_empty();
+    for error in errors {
+        let at = lines.spot(error.span().map_or(0, |s| s.start));
+        let found = error.message().lines().next().unwrap_or_default().to_owned();
+        report.findings.push(Finding::error("form", at, "file", found, "TOML 1.0"));
+    }
+    if broken {
+        // What is left of a broken file says nothing of what was meant.
+        return None;
+    }
+    let mut reader = Reader { lines, report: std::mem::take(report) };
+    let file = reader.file(document.get_ref());
+    *report = reader.report;
+    Some(file)
+}
+
+impl Reader {
+    fn spot<T>(&self, value: &Spanned<T>) -> Spot {
+        self.lines.spot(value.span().start)
+    }
+
+    fn error(
+        &mut self,
+        rule: &'static str,
+        at: Spot,
+        field: String,
+        found: String,
+        right: impl Into<String>,
+    ) {
+        self.report.findings.push(Finding::error(rule, at, field, found, right));
+    }
+
+    fn file(&mut self, table: &DeTable<'_>) -> File {
+        let mut top = Section::new(self, table, String::new(), fields::TOP);
+        let node = top.table("node", fields::NODE, |s| Node {
+            name: s.text("name").map_or_else(|| "node".to_owned(), |n| n.value),
+            zone: s.text("zone"),
+            sockets: s.count("sockets", 32, 1 << 20).map_or(1024, |n| n.value),
+            memory: s.size("memory", 16 << 20).map_or(192 << 20, |n| n.value),
+            open_requests: s.count("open_requests", 1, 1 << 24).map_or(20_000, |n| n.value),
+            retry_after: s.flag("retry_after").unwrap_or(true),
+            retry_after_max_ms: s.duration("retry_after_max").map_or(2_000.0, |d| d.value),
+            connect_timeout_ms: s.duration("connect_timeout").map_or(300.0, |d| d.value),
+            idle_timeout_ms: s.duration("idle_timeout").map_or(15_000.0, |d| d.value),
+        });
+        let fleet = top.table("fleet", fields::FLEET, |s| Fleet {
+            nodes: s.count("nodes", 1, 100_000).map_or(1, |n| n.value),
+            number: s.count("number", 0, 99_999).map_or(0, |n| n.value),
+            cold_ms: s.duration("cold_time").map_or(20_000.0, |d| d.value),
+            start_capacity: s.number("start_capacity", 0.01, 1.0).unwrap_or(0.2),
+            fall_multiple: s.number("fall_multiple", 1.0, 1000.0).unwrap_or(3.0),
+            fall_ms: s.duration("fall_time").map_or(1_500.0, |d| d.value),
+        });
+        let listeners = top.tables("listener", fields::LISTENER, |s, at| {
+            let name = s.text("name");
+            let address = s.address("address", true);
+            s.choice("kind", &["http"]);
+            let address = address?;
+            let name = name.unwrap_or_else(|| At { value: address.value.to_string(), at });
+            Some(Listener { name, address })
+        });
+        let pools = top.named("pool", fields::POOL, |s, name| {
+            let servers = s.tables("servers", fields::SERVER, |s, at| {
+                let name = s.text("name");
+                let address = s.address("address", true);
+                let zone = s.text("zone");
+                let cell = s.count("cell", 0, u32::MAX);
+                let weight = s.number("weight", 1e-3, 1e6).unwrap_or(1.0);
+                let address = address?;
+                let name = name.unwrap_or_else(|| At { value: address.value.to_string(), at });
+                Some(Server { name, address, zone, cell, weight })
+            });
+            Pool { name, servers, discovery: s.address("discovery", false) }
+        });
+        let tenants = top.named("tenant", fields::TENANT, |s, name| Tenant {
+            name,
+            rate: s.number("rate", 0.001, 1e9).unwrap_or(0.0),
+        });
+        let defaults = top.table("defaults", fields::DEFAULTS, |s| s.values());
+        let classes = top.named("class", fields::CLASS, |s, name| Class {
+            name,
+            effect: s.choice("effect", fields::EFFECTS).map(|(n, at)| At {
+                value: [Effect::Safe, Effect::Keyed, Effect::Unsafe]
+                    .get(n)
+                    .copied()
+                    .unwrap_or(Effect::Unsafe),
+                at,
+            }),
+            patience_ms: s.duration("patience"),
+            aim_ms: s.duration("aim"),
+            worth: s.number_at("worth", 0.0, 1e6),
+            dropped_by: s.choice("repeats_dropped_by", fields::GROUPS).map(|(n, at)| {
+                let groups = [DroppedBy::Pool, DroppedBy::Zone, DroppedBy::Cell];
+                At { value: groups.get(n).copied().unwrap_or(DroppedBy::Cell), at }
+            }),
+            dropped_for_ms: s.duration("repeats_dropped_for"),
+            values: s.values(),
+        });
+        let groups = top.named("group", fields::GROUP, |s, name| Group {
+            name,
+            names: s.names(),
+            values: s.values(),
+        });
+        let routes = top.tables("route", fields::ROUTE, |s, at| {
+            let name = s.text("name").unwrap_or(At { value: format!("line {}", at.line), at });
+            s.title = format!("route {:?}", name.value);
+            Some(Route {
+                name,
+                group: s.text("group"),
+                host: s.text("host"),
+                path: s.text("path"),
+                prefix: s.text("prefix"),
+                methods: s.texts("method"),
+                headers: s.pairs("header"),
+                names: s.names(),
+                values: s.values(),
+            })
+        });
+        let sections =
+            table.keys().map(|k| At { value: k.get_ref().to_string(), at: self.spot(k) }).collect();
+        File { sections, node, fleet, listeners, pools, tenants, defaults, classes, groups, routes }
+    }
+}
+
+impl Section<'_, '_> {
+    fn values(&mut self) -> Values {
+        let retry = self.choice("retry", fields::RETRY).map(|(n, at)| {
+            let all = [Retry::None, Retry::NeverRan, Retry::MayHaveRun];
+            At { value: all.get(n).copied().unwrap_or(Retry::None), at }
+        });
+        Values {
+            attempts: self.count("attempts", 1, 16),
+            attempt_timeout_ms: self.duration_or_off("attempt_timeout"),
+            deadline_ms: self.duration("deadline"),
+            retry,
+            second_copy_ms: self.duration_or_off("second_copy_after"),
+            body_limit: self.size("body_limit", 1),
+        }
+    }
+
+    fn names(&mut self) -> Names {
+        Names {
+            class: self.text("class"),
+            pool: self.text("pool"),
+            tenant: self.source("tenant"),
+            key: self.source("key"),
+            patience_from: self.source("patience_from"),
+        }
+    }
+}
