Decisions: attempts, attempt limit, reruns and second copies per class

A route's effective values become a class of the decision module: absent they are as before. Five tests of the module and the properties with random values; seven of eight mutations were seen red, the one in repeats() not: the gate may_send holds the rule.

--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
-    Reporting, Request, RequestId, Settings, SettingsError,
+    Reporting, Request, RequestId, RouteValues, Settings, SettingsError,
 };
 use std::collections::HashMap;
 
@@ -16,6 +16,8 @@
 const LOG_LINES: u32 = 200;
 const TICK: u64 = 1;
 const ASK: u64 = 2;
+/// Timers of second copies: this and the request's number.
+const COPY: u64 = 3;
 
 /// The failure record: failures and tries in a window of buckets, and the congested state with its
 /// PRAT.
@@ -415,9 +417,7 @@
             }
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
             Event::Request(r) => self.on_request(now, r, out),
-            Event::Ended { id, attempt, outcome, last, elapsed_ms, load, .. } => {
-                self.on_ended(now, id, attempt, outcome, last, elapsed_ms, &load, out);
-            }
+            Event::Ended { .. } => self.on_ended(now, &event, out),
             Event::Left(id) => self.on_left(id, out),
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
@@ -426,7 +426,11 @@
                     self.trial_over(now, i, outcome == Outcome::Done, out);
                 }
             }
-            Event::Timer(_) | Event::Started { .. } | Event::Message { .. } => {}
+            Event::Timer(token) => self.second_copy(now, RequestId(token.saturating_sub(COPY)), out),
+            Event::Class(index, class) if index < self.learned.len() => {
+                (self.s.classes[index], self.learned[index]) = (class, Learned::default());
+            }
+            Event::Class(..) | Event::Started { .. } | Event::Message { .. } => {}
         }
     }
 
@@ -733,14 +737,11 @@
         }
         let usable = |i: usize| i != usize::MAX && self.usable(now, open, i);
         let [first, second] = [best[0].1, best[1].1];
-        let keyed = match (usable(first), usable(second)) {
-            (true, true) if self.second_is_freer(now, first, second, draw) => Some(second),
-            (true, _) => Some(first),
-            (false, true) => Some(second),
-            (false, false) => None,
-        };
-        if keyed.is_some() {
-            return keyed;
+        match (usable(first), usable(second)) {
+            (true, true) if self.second_is_freer(now, first, second, draw) => return Some(second),
+            (true, _) => return Some(first),
+            (false, true) => return Some(second),
+            (false, false) => {}
         }
         // A spilled key is work anew at a backend that has not met it: spills keep to a budget.
         if self.s.warm_keys && self.admission.spill < 1.0 {
@@ -797,9 +798,11 @@
     fn may_send(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
         let class = self.s.classes.get(open.request.class);
+        let route = class.map_or_else(RouteValues::default, |c| c.route);
         let may_have_run = open.attempts.iter().find(|a| !a.never_ran);
         let effect_kept = match (may_have_run, class.map_or(Effect::Unsafe, |c| c.effect)) {
-            (None, _) | (Some(_), Effect::Safe) => true,
+            (None, _) => true,
+            (Some(_), Effect::Safe) => route.reruns,
             (Some(_), Effect::Unsafe) => false,
             (Some(a), Effect::Keyed(group)) => {
                 let same = match group {
@@ -807,14 +810,14 @@
                     Group::Zone => a.zone == b.zone,
                     Group::Cell => a.cell == b.cell,
                 };
-                same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
+                route.reruns && same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
             }
         };
         let copies_kept = self.s.second_copies || !open.attempts.iter().any(|a| a.out);
         let cold_kept = now - b.cold_since >= self.s.cold_ms || b.cold_tokens >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
-            && (open.attempts.len() as u32) < self.s.max_attempts
+            && (open.attempts.len() as u32) < self.s.max_attempts.min(route.attempts)
             && b.up
             && effect_kept
             && copies_kept
@@ -890,7 +893,7 @@
 
     /// A second try of this class may do no harm; a class nobody knows is held to be unsafe.
     fn repeats(&self, class: usize) -> bool {
-        self.s.classes.get(class).is_some_and(|c| c.effect != Effect::Unsafe)
+        self.s.classes.get(class).is_some_and(|c| c.effect != Effect::Unsafe && c.route.reruns)
     }
 
     /// Sends an attempt, or answers when there is nowhere to send it.
@@ -908,11 +911,12 @@
         let Some(class) = self.open.get(&id).map(|o| o.request.class) else { return };
         let repeats = self.repeats(class);
         let Some(open) = self.open.get_mut(&id) else { return };
-        let late = self.s.classes.get(open.request.class).is_some_and(|c| c.late_worth > 0.0);
+        let c = self.s.classes.get(class);
+        let (late, route) = c.map_or((false, RouteValues::default()), |c| (c.late_worth > 0.0, c.route));
         let end = if late && self.admission.level > 0.95 { open.request.deadline_ms } else { open.aim_at };
-        let mut timeout = end.min(open.request.deadline_ms) - now;
+        let mut timeout = (end.min(open.request.deadline_ms) - now).min(route.attempt_timeout_ms);
         let b = &mut self.backends[index];
-        if let Some(l) = self.learned.get(open.request.class).filter(|l| l.seen >= 20) {
+        if let Some(l) = self.learned.get(class).filter(|l| l.seen >= 20) {
             // n is short where the backend is in doubt and a repeat is allowed: a silent one costs
             // little.
             let doubt = b.record.congested || b.record.doubt > 0;
@@ -942,6 +946,18 @@
             trial,
         });
         out.push(Action::Send { id, backend: b.id, timeout_ms: timeout });
+        if open.attempts.len() == 1 && route.second_copy_ms < timeout {
+            out.push(Action::Timer { token: COPY + id.0, at_ms: now + route.second_copy_ms });
+        }
+    }
+
+    /// A second attempt beside the first one that is still out, from the budget of further attempts.
+    fn second_copy(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+        let alone = |o: &Open| o.attempts.len() == 1 && o.attempts[0].out && !o.finished;
+        if self.open.get(&id).is_some_and(alone) && self.admission.retry >= 1.0 {
+            self.admission.retry -= 1.0;
+            self.attempt(now, id, out);
+        }
     }
 
     /// The gate of every refusal: refused where that promise holds, failed where it does not.
@@ -978,32 +994,19 @@
     fn on_left(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.finished = true;
-        if self.s.may_cancel {
-            for (n, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.out) {
-                out.push(Action::Cancel { id, attempt: n as u32 });
-            }
-        }
+        let called_off = open.attempts.iter().enumerate().filter(|(_, a)| a.out && self.s.may_cancel);
+        out.extend(called_off.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
         if open.attempts.iter().all(|a| !a.out) {
             self.open.remove(&id);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self,
-        now: f64,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        last: bool,
-        elapsed: f64,
-        load: &Load,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, now: f64, event: &Event, out: &mut Vec<Action>) {
+        let &Event::Ended { id, attempt, outcome, last, elapsed_ms, load, .. } = event else { return };
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
         // A time that is no number must not spoil what is learned.
-        let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { (now - a.sent).max(0.0) };
+        let elapsed = if elapsed_ms.is_finite() { elapsed_ms.max(0.0) } else { (now - a.sent).max(0.0) };
         a.out = false;
         self.in_flight = self.in_flight.saturating_sub(1);
         a.never_ran = never_ran(&self.s, outcome);
@@ -1020,7 +1023,7 @@
             self.connections(now, i, outcome, out);
             // A backend that fails or refuses fast looks idle: its failures count as full pressure.
             let heard = match outcome {
-                Outcome::Done => self.reported(class, load),
+                Outcome::Done => self.reported(class, &load),
                 Outcome::Cancelled | Outcome::Skipped => None,
                 _ => Some(1.0).filter(|_| self.s.reporting != Reporting::None),
             };
@@ -1042,17 +1045,15 @@
                 self.learn(now, i, class, (outcome, in_aim, elapsed, allowed), worth, out);
             }
         }
-        if outcome == Outcome::Done
-            && let Some(l) = self.learned.get_mut(class)
-        {
-            l.served += if in_aim { 1.0 } else { 0.0 };
+        if let Some(l) = self.learned.get_mut(class).filter(|_| in_aim) {
+            l.served += 1.0;
         }
         let Some(open) = self.open.get(&id) else { return };
-        if open.attempts.iter().any(|a| a.out) {
-            return;
-        }
         if open.finished {
-            self.open.remove(&id);
+            // Nobody waits for what is still out.
+            return self.on_left(id, out);
+        }
+        if open.attempts.iter().any(|a| a.out) {
             return;
         }
         // Further attempts multiply load: each takes from a budget, less where nothing ran.
--- a/crates/birchspoke/src/interface.rs
+++ b/crates/birchspoke/src/interface.rs
@@ -62,6 +62,32 @@
     pub key_ttl_ms: f64,
     /// The aim is longer by this multiple of the request's own work, up to the deadline; 0 for none.
     pub aim_stretch: f64,
+    /// What an operator has set for it.
+    pub route: RouteValues,
+}
+
+/// What a route's operator has set for a class of its own. The default is what the platform has: nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteValues {
+    /// Attempts for one request, beside [`Settings::max_attempts`].
+    pub attempts: u32,
+    /// The longest attempt; infinite for none.
+    pub attempt_timeout_ms: f64,
+    /// Another attempt may follow one that may have run, as far as the effect allows.
+    pub reruns: bool,
+    /// A second copy is sent so long after a first attempt that is still out; infinite for none.
+    pub second_copy_ms: f64,
+}
+
+impl Default for RouteValues {
+    fn default() -> RouteValues {
+        RouteValues {
+            attempts: u32::MAX,
+            attempt_timeout_ms: f64::INFINITY,
+            reruns: true,
+            second_copy_ms: f64::INFINITY,
+        }
+    }
 }
 
 /// A tenant and its share.
@@ -248,6 +274,15 @@
             ("limits.attemptsCap", f64::from(self.max_attempts), 1.0),
         ];
         for c in &self.classes {
+            // An infinite one is none.
+            let limit = |ms: f64| if ms == f64::INFINITY { 1.0 } else { ms };
+            figures.push((
+                "classes.attemptTimeoutMs",
+                limit(c.route.attempt_timeout_ms),
+                f64::MIN_POSITIVE,
+            ));
+            figures.push(("classes.secondCopyMs", limit(c.route.second_copy_ms), f64::MIN_POSITIVE));
+            figures.push(("classes.attempts", f64::from(c.route.attempts), 1.0));
             figures.push(("classes.hardLimitMs", c.deadline_ms, f64::MIN_POSITIVE));
             figures.push(("classes.objectiveMs", c.aim_ms, f64::MIN_POSITIVE));
             figures.push(("classes.value", c.worth, 0.0));
@@ -405,6 +440,9 @@
     },
     /// The client is gone; nothing is owed.
     Left(RequestId),
+    /// From now on the class at this place is another: an operator has changed its routes. Requests of the old
+    /// one must be over, or it must be a place that nothing used.
+    Class(usize, Class),
     /// A timer set by [`Action::Timer`].
     Timer(u64),
     /// A probe is over.
--- a/crates/birchspoke/src/wire.rs
+++ b/crates/birchspoke/src/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Goal, Group, Health, ListKind, Load,
-    Outcome, Prices, Reporting, Request, RequestId, Settings, Tenant, Weights,
+    Outcome, Prices, Reporting, Request, RequestId, RouteValues, Settings, Tenant, Weights,
 };
 use serde_json::Value;
 use std::collections::HashMap;
@@ -395,6 +395,7 @@
         },
         key_ttl_ms: figure(v, "keyTtlMs", Some(0.0))?,
         aim_stretch: figure(v, "aimStretch", Some(0.0))?,
+        route: RouteValues::default(),
     })
 }
 
--- a/crates/birchspoke/tests/behaviour.rs
+++ b/crates/birchspoke/tests/behaviour.rs
@@ -931,3 +931,87 @@
     assert_eq!(hurry(true, true), (0, 60), "a retry with less than any first try is an old one");
     assert!(hurry(false, false).0 < 40, "where nothing is marked those given less may be last tries");
 }
+
+// ---- what an operator has set for a class of its own ----
+
+/// A world with one safe class of these values, on four backends.
+fn routed(route: RouteValues, s: Settings) -> World {
+    let classes = vec![Class { route, ..class(400.0, 1000.0, Effect::Safe) }];
+    World::with_backends(Settings { classes, ..s }, 1, 4)
+}
+
+/// Ends whatever attempt of the request is out with an error until it has its answer: how many there were.
+fn attempts_until_answered(w: &mut World, id: RequestId) -> usize {
+    while w.answer(id).is_none() {
+        w.end(id, Outcome::Error);
+    }
+    w.asked[&id].attempts.len()
+}
+
+#[test]
+fn a_route_has_its_own_number_of_attempts_and_never_more_than_the_settings() {
+    for (set, made) in [(1, 1), (2, 2), (9, 3)] {
+        let mut w = routed(RouteValues { attempts: set, ..RouteValues::default() }, settings());
+        let id = w.ask(0, Some(1));
+        assert_eq!(attempts_until_answered(&mut w, id), made, "{set} set");
+    }
+}
+
+#[test]
+fn a_route_that_is_not_rerun_is_sent_again_only_where_it_never_ran() {
+    let mut w = routed(RouteValues { reruns: false, ..RouteValues::default() }, settings());
+    let id = w.ask(0, Some(1));
+    assert_eq!(attempts_until_answered(&mut w, id), 1);
+    let id = w.ask(0, Some(1));
+    w.end(id, Outcome::Full);
+    assert!(w.at(id).is_some(), "turned away: it never ran");
+}
+
+#[test]
+fn an_attempt_of_a_route_ends_at_its_own_limit() {
+    let mut w = routed(RouteValues { attempt_timeout_ms: 70.0, ..RouteValues::default() }, settings());
+    let id = w.ask(0, Some(1));
+    w.wait(69.0);
+    assert_eq!(w.asked[&id].attempts.len(), 1);
+    w.wait(2.0);
+    assert_eq!(w.asked[&id].attempts.len(), 2, "timed out at 70 ms, and tried again");
+}
+
+#[test]
+fn a_second_copy_goes_out_after_its_delay_and_the_loser_is_called_off() {
+    let route = RouteValues { second_copy_ms: 50.0, ..RouteValues::default() };
+    let s = Settings { second_copies: true, ..settings() };
+    let mut w = routed(route, s.clone());
+    let id = w.ask(0, Some(1));
+    w.wait(49.0);
+    assert_eq!(w.asked[&id].attempts.len(), 1);
+    w.wait(2.0);
+    assert_eq!(w.asked[&id].attempts.len(), 2);
+    let [first, second] = [0, 1].map(|n| w.asked[&id].attempts[n].backend);
+    assert_ne!(first, second, "two backends");
+    w.end(id, Outcome::Done);
+    assert!(w.trace.contains(&Action::Cancel { id, attempt: 1 }), "nobody waits for the copy");
+    // Answered before the delay there is none, and where two at once are not allowed neither.
+    let id = w.ask(0, Some(1));
+    w.wait(10.0);
+    w.end(id, Outcome::Done);
+    w.wait(100.0);
+    assert_eq!(w.asked[&id].attempts.len(), 1);
+    let mut w = routed(route, Settings { second_copies: false, ..s });
+    let id = w.ask(0, Some(1));
+    w.wait(100.0);
+    assert_eq!(w.asked[&id].attempts.len(), 1);
+}
+
+#[test]
+fn a_class_that_is_replaced_holds_from_then_on() {
+    let mut w = routed(RouteValues::default(), settings());
+    let stricter = RouteValues { attempts: 1, ..RouteValues::default() };
+    let new = Class { route: stricter, ..class(400.0, 1000.0, Effect::Unsafe) };
+    w.s.classes[0] = new.clone();
+    w.feed(Event::Class(0, new.clone()));
+    w.feed(Event::Class(7, new));
+    let id = w.ask(0, Some(1));
+    assert_eq!(attempts_until_answered(&mut w, id), 1);
+    assert_eq!(w.answer(id), Some("failed"), "unsafe now: no promise that it did not run");
+}
--- a/crates/birchspoke/tests/common/mod.rs
+++ b/crates/birchspoke/tests/common/mod.rs
@@ -10,7 +10,16 @@
 const ANSWER_SLACK_MS: f64 = 20.0;
 
 pub fn class(aim_ms: f64, deadline_ms: f64, effect: Effect) -> Class {
-    Class { aim_ms, deadline_ms, worth: 1.0, late_worth: 0.0, effect, key_ttl_ms: 1000.0, aim_stretch: 0.0 }
+    Class {
+        aim_ms,
+        deadline_ms,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        key_ttl_ms: 1000.0,
+        aim_stretch: 0.0,
+        route: RouteValues::default(),
+    }
 }
 
 /// Settings of no deployment.
@@ -154,7 +163,11 @@
             Action::Send { id, backend, timeout_ms } => {
                 let asked = self.asked.get_mut(id).expect("a known request");
                 assert!(asked.answer.is_none(), "rule 1: sent after its end");
-                assert!(asked.attempts.len() < self.s.max_attempts as usize, "more attempts than allowed");
+                let route =
+                    self.s.classes.get(asked.request.class).map_or_else(RouteValues::default, |c| c.route);
+                let most = self.s.max_attempts.min(route.attempts);
+                assert!(asked.attempts.len() < most as usize, "more attempts than allowed");
+                assert!(*timeout_ms <= route.attempt_timeout_ms, "a longer attempt than allowed");
                 let entry = self.list.get(backend).expect("a backend that the list has named");
                 assert_eq!(entry.health, Health::Up, "rule 3: sent to one that drains or is gone");
                 let out = asked.attempts.iter().any(|a| a.outcome.is_none());
@@ -164,6 +177,7 @@
                     let c = self.s.classes.get(asked.request.class);
                     let old = &self.list[&ran.backend];
                     let held = match c.map_or(Effect::Unsafe, |c| c.effect) {
+                        _ if !route.reruns => false,
                         Effect::Safe => true,
                         Effect::Unsafe => false,
                         Effect::Keyed(g) => {
--- a/crates/birchspoke/tests/properties.rs
+++ b/crates/birchspoke/tests/properties.rs
@@ -119,6 +119,19 @@
     w.trace
 }
 
+/// What an operator may have set, as often as not nothing.
+fn route() -> impl Strategy<Value = RouteValues> {
+    let set = (1_u32..4, 5.0..500.0, any::<bool>(), 1.0..400.0).prop_map(
+        |(attempts, attempt_timeout_ms, reruns, second_copy_ms)| RouteValues {
+            attempts,
+            attempt_timeout_ms,
+            reruns,
+            second_copy_ms,
+        },
+    );
+    prop_oneof![Just(RouteValues::default()), set]
+}
+
 fn runner() -> TestRunner {
     let config = Config { cases: 150, failure_persistence: None, ..Config::default() };
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]))
@@ -126,12 +139,16 @@
 
 #[test]
 fn the_rules_hold_and_the_same_events_give_the_same_actions() {
-    let input = (any::<u64>(), any::<[bool; 6]>(), proptest::collection::vec(step(), 1..120));
+    let routes = proptest::collection::vec(route(), 5);
+    let input = (any::<u64>(), any::<[bool; 6]>(), proptest::collection::vec(step(), 1..120), routes);
     runner()
-        .run(&input, |(seed, [probes, copies, warm, asked, late_shedding, closes], steps)| {
+        .run(&input, |(seed, [probes, copies, warm, asked, late_shedding, closes], steps, routes)| {
+            let mut classes = settings().classes;
+            classes.iter_mut().zip(routes).for_each(|(c, r)| c.route = r);
             let discovery = if asked { Discovery::OnRequest } else { Discovery::Pushed };
             let drain_close_ms = closes.then_some(1000.0);
             let s = Settings {
+                classes,
                 probes,
                 second_copies: copies,
                 warm_keys: warm,
