Node: routes from an operator's file, alone or beside the platform's configuration

Listeners, pools (each with its own decisions), classes and routes come from the file; the platform's way is as it was. Paths and hosts are matched and sent on in one form, what could mean two things is refused with 400. On SIGHUP a version is read on a thread of its own and taken whole or not at all; a request keeps the version it was taken under. Command line by clap: run, check, explain, schema; no arguments as before.

--- a/crates/birchspoke/src/wire.rs
+++ b/crates/birchspoke/src/wire.rs
@@ -114,6 +114,11 @@
         list.iter().position(|n| n == name)
     }
 
+    /// The classes' names, in the settings' order.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// Place of a class in the settings; one that is not there is held to the strictest rules.
     pub fn class(&self, name: &str) -> usize {
         Names::index(&self.classes, name).unwrap_or(usize::MAX)
--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,176 @@
+//! The command line. With no arguments it runs a node, as the platform starts it.
+
+use crate::operator::{self, FileError};
+use crate::setup::Setup;
+use crate::{config, log, serve};
+use applemill_routes::{Platform, Request, Severity, explain, load_bytes, schema};
+use clap::{Args, Parser, Subcommand};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::task::LocalSet;
+
+/// What a file that is refused, or cannot be read, ends the program with.
+const REFUSED: u8 = 2;
+
+/// A load balancer for HTTP, run as a small bank of proxies.
+///
+/// Without a command it runs a node from the JSON file that LB_CONFIG names, from the operator's file that LB_OPERATOR
+/// names, or from both.
+#[derive(Debug, Parser)]
+#[command(name = "applemill", version, disable_help_subcommand = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a node.
+    Run {
+        /// The operator's file; LB_OPERATOR if absent.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Checks an operator's file and tells all that is wrong with it. Exit code 0: it may be used; 2: it may not.
+    Check {
+        #[command(flatten)]
+        file: OperatorFile,
+        /// As JSON, for programs.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tells what becomes of a request: its route, those passed over, each value and the line it came from, and the
+    /// longest course it can take. Exit code 1: no route takes it.
+    Explain {
+        #[command(flatten)]
+        file: OperatorFile,
+        /// Method and path.
+        #[arg(value_name = "'METHOD PATH'")]
+        request: String,
+        /// A header of the request, such as 'Host: auction.lv'; may be given several times.
+        #[arg(short = 'H', long = "header", value_name = "HEADER")]
+        headers: Vec<String>,
+    },
+    /// Prints a JSON Schema of the operator's file, for editors.
+    Schema,
+}
+
+#[derive(Debug, Args)]
+struct OperatorFile {
+    /// The operator's file.
+    #[arg(value_name = "FILE")]
+    path: PathBuf,
+    /// The platform's configuration beside which it would stand.
+    #[arg(long, value_name = "JSON")]
+    platform: Option<PathBuf>,
+}
+
+impl OperatorFile {
+    /// What the platform allows, where its configuration is named.
+    fn allowed(&self) -> Result<Option<Platform>, ExitCode> {
+        let Some(path) = &self.platform else { return Ok(None) };
+        match config::Config::read_path(path) {
+            Ok(config) => Ok(Some(operator::platform(&config.settings, &config.names))),
+            Err(e) => Err(refuse(&format!("{}: {e}", path.display()))),
+        }
+    }
+}
+
+/// Runs what the command line asks for.
+pub fn main() -> ExitCode {
+    // The platform's way costs no parsing.
+    if std::env::args_os().len() <= 1 {
+        return run(None);
+    }
+    match Cli::parse().command {
+        None => run(None),
+        Some(Command::Run { config }) => run(config.as_deref()),
+        Some(Command::Check { file, json }) => check(&file, json),
+        Some(Command::Explain { file, request, headers }) => tell(&file, &request, &headers),
+        Some(Command::Schema) => {
+            print(&format!("{:#}\n", schema()));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Writes to standard output; a reader that has gone is no error.
+fn print(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
+fn refuse(why: &str) -> ExitCode {
+    let _ = writeln!(std::io::stderr(), "applemill: {why}");
+    ExitCode::from(REFUSED)
+}
+
+fn run(file: Option<&Path>) -> ExitCode {
+    let named = std::env::var_os("LB_OPERATOR").filter(|f| !f.is_empty()).map(PathBuf::from);
+    let setup = match Setup::load(file.or(named.as_deref())) {
+        Ok(setup) => setup,
+        Err(e) => return refuse(&e.to_string()),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::line(&format!("no runtime: {e}"));
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, serve::run(setup)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::line(&e.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(file: &OperatorFile, json: bool) -> ExitCode {
+    let platform = match file.allowed() {
+        Ok(platform) => platform,
+        Err(code) => return code,
+    };
+    let shown = file.path.display().to_string();
+    let bytes = match operator::read(&file.path) {
+        Ok(bytes) => bytes,
+        Err(e) if json => {
+            print(&format!(
+                "{:#}\n",
+                serde_json::json!({"file": shown, "accepted": false, "unread": e.to_string()})
+            ));
+            return ExitCode::from(REFUSED);
+        }
+        Err(e) => return refuse(&e.to_string()),
+    };
+    let (report, rules) = load_bytes(&bytes, platform.as_ref());
+    if json {
+        print(&format!("{:#}\n", report.json(&shown)));
+    } else {
+        let (errors, warnings) = (report.count(Severity::Error), report.count(Severity::Warning));
+        let verdict = if rules.is_some() { "may be used" } else { "is refused" };
+        print(&format!("{}{shown} {verdict}: {errors} errors, {warnings} warnings\n", report.text(&shown)));
+    }
+    if rules.is_some() { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
+}
+
+fn tell(file: &OperatorFile, request: &str, headers: &[String]) -> ExitCode {
+    let platform = match file.allowed() {
+        Ok(platform) => platform,
+        Err(code) => return code,
+    };
+    let request = match Request::read(request, headers) {
+        Ok(request) => request,
+        Err(e) => return refuse(&e),
+    };
+    match operator::load(&file.path, platform.as_ref()) {
+        Ok((_, rules)) => {
+            let (text, taken) = explain(&rules, &request);
+            print(&text);
+            if taken { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(e @ FileError::Refused(..)) => refuse(&format!("nothing to explain: {e}")),
+        Err(e) => refuse(&e.to_string()),
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,6 +4,7 @@
 use birchspoke::wire::{self, Names, WireError};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 use thiserror::Error;
 
 /// All that a node is told at its start.
@@ -102,8 +103,17 @@
 
     fn read_file(word: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
-        let file = |reason: String| ConfigError::File { path: path.clone(), reason };
-        let content = std::fs::read_to_string(&path).map_err(|e| file(e.to_string()))?;
+        Config::read_at(Path::new(&path), word)
+    }
+
+    /// Reads a file that no node runs on, without the environment.
+    pub fn read_path(path: &Path) -> Result<Config, ConfigError> {
+        Config::read_at(path, |_| None)
+    }
+
+    fn read_at(path: &Path, word: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let file = |reason: String| ConfigError::File { path: path.display().to_string(), reason };
+        let content = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
         let json: Value = serde_json::from_str(&content).map_err(|e| file(e.to_string()))?;
         Config::read(&json, word)
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,10 +5,10 @@
 
 use crate::log;
 use crate::peers::Peers;
-use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
+use crate::upstream::{Call, Conn, Dialect, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
+    Action, BackendId, Class, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -134,6 +134,8 @@
     Timer(u64),
     /// Another node's message.
     Message(u32, Vec<u8>),
+    /// An operator has changed a class.
+    Class(usize, Class),
 }
 
 struct Open {
@@ -161,7 +163,7 @@
     places: HashMap<BackendId, Place>,
 }
 
-/// Events in, actions out.
+/// Events in, actions out: one for each pool of backends.
 pub struct Driver {
     core: RefCell<Core>,
     inbox: RefCell<VecDeque<Input>>,
@@ -171,6 +173,7 @@
     peers: Option<Rc<Peers>>,
     watch: mpsc::UnboundedSender<bool>,
     probe_path: &'static str,
+    dialect: Dialect,
     next: Cell<u64>,
 }
 
@@ -182,6 +185,7 @@
         upstream: Rc<Upstream>,
         peers: Option<Rc<Peers>>,
         watch: mpsc::UnboundedSender<bool>,
+        dialect: Dialect,
     ) -> Rc<Driver> {
         Rc::new(Driver {
             core: RefCell::new(Core { balancer, open: HashMap::new(), places: HashMap::new() }),
@@ -191,6 +195,7 @@
             peers,
             watch,
             probe_path: if reporting == Reporting::None { "/alive" } else { "/metrics/load" },
+            dialect,
             next: Cell::new(0),
         })
     }
@@ -302,7 +307,8 @@
             return;
         };
         let until = report.begun + Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
-        let errand = Errand { backend, address: place.address, call: open.call.clone(), until };
+        let (address, call) = (place.address, open.call.clone());
+        let errand = Errand { backend, address, call, until, dialect: self.dialect };
         let driver = self.clone();
         spawn_local(async move {
             let wanted = || driver.stands(id, errand.backend);
@@ -405,6 +411,7 @@
             }
             Input::Timer(token) => Event::Timer(token),
             Input::Message(from, bytes) => Event::Message { from, bytes },
+            Input::Class(index, class) => Event::Class(index, class),
         })
     }
 
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,16 +3,15 @@
 //! What is turned away costs no backend anything and is answered at once. Its connection ends with the answer:
 //! the rest of what such a client sends is not wanted, and may not mean what it seems to.
 
-use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
+use crate::operator::{Operator, RunningPool, Version};
+use crate::upstream::{BODY_LIMIT, Call, EXPIRES, end_to_end, without_own};
+use applemill_routes::{self as routes, Found, Header, normal_host, normal_path};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
-use birchspoke::wire::{Names, stable_hash};
+use birchspoke::wire::stable_hash;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Uri};
 use std::cell::RefCell;
@@ -32,18 +31,6 @@
 /// When to come back to a node that is full.
 const FULL_FOR: &str = "1";
 
-/// Headers that concern one connection only, or that are made anew.
-const OWN_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// An answer of this node's own.
 pub type Own = Response<Full<Bytes>>;
 
@@ -61,11 +48,26 @@
     response
 }
 
-/// This node holds all that it can.
-pub fn full() -> Own {
-    let mut response = farewell(StatusCode::SERVICE_UNAVAILABLE, "full, try again later\n");
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(FULL_FOR));
-    response
+/// Why a request is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turned {
+    /// It is wrong, and this tells how.
+    Wrong(StatusCode, &'static str),
+    /// This node holds all that it can.
+    Full,
+}
+
+impl From<Turned> for Own {
+    fn from(turned: Turned) -> Own {
+        match turned {
+            Turned::Wrong(status, text) => farewell(status, text),
+            Turned::Full => {
+                let mut response = farewell(StatusCode::SERVICE_UNAVAILABLE, "full, try again later\n");
+                response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(FULL_FOR));
+                response
+            }
+        }
+    }
 }
 
 /// The ids of the requests that are open.
@@ -92,8 +94,16 @@
     }
 }
 
+/// Held for as long as a request is open.
+pub struct Held {
+    _id: Option<OpenId>,
+    _version: Option<Rc<Version>>,
+}
+
 /// A request as it was read.
 pub struct Reading {
+    /// The number of its pool.
+    pub pool: usize,
     /// What the decisions need.
     pub asked: Asked,
     /// What goes on to a backend.
@@ -103,46 +113,111 @@
     /// When this node does so without them.
     pub expires: Instant,
     /// Held for as long as the request is open.
-    pub id: OpenId,
+    pub held: Held,
+}
+
+/// A request whose head is read.
+struct Headed {
+    pool: usize,
+    asked: Asked,
+    id: Option<HeaderValue>,
+    version: Option<Rc<Version>>,
+    /// What its body's length is told to be, and may be.
+    length: Option<usize>,
+    limit: usize,
+    /// How long its client waits.
+    wait: Duration,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
 }
 
 /// Reads requests.
 pub struct Reader {
-    names: Rc<Names>,
+    pools: Rc<[RunningPool]>,
+    /// The platform's; none where there is none.
     classes: Vec<Class>,
+    operator: Option<Rc<Operator>>,
     ids: Ids,
     /// Bytes that all bodies together may still take.
     room: Arc<Semaphore>,
 }
 
+fn wrong(text: &'static str) -> Turned {
+    Turned::Wrong(StatusCode::BAD_REQUEST, text)
+}
+
+/// The platform's requests come here.
+fn is_platforms(path: &str) -> bool {
+    path.strip_prefix("/api").is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// A header that is there once and is text.
+fn once<'h>(headers: &'h HeaderMap, name: &str) -> Header<'h> {
+    let mut all = headers.get_all(name).iter();
+    match (all.next(), all.next()) {
+        (None, _) => Header::Absent,
+        (Some(value), None) => value.to_str().map_or(Header::Unclear, Header::Once),
+        _ => Header::Unclear,
+    }
+}
+
+/// Clients tell lengths: of a request with both framings hyper has taken the length away by now, so that one cannot
+/// be told from one with the other framing alone.
+fn no_codings(head: &Parts) -> Result<(), Turned> {
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(Turned::Wrong(StatusCode::LENGTH_REQUIRED, "no transfer codings\n"));
+    }
+    Ok(())
+}
+
+/// The length of a body as it is told, or what it is where none is told.
+fn length(head: &Parts, absent: Option<usize>) -> Result<Option<usize>, Turned> {
+    match head.headers.get(CONTENT_LENGTH) {
+        None if absent.is_some() => Ok(absent),
+        None => Err(Turned::Wrong(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n")),
+        Some(length) => Ok(length.to_str().ok().and_then(|l| l.parse().ok())),
+    }
+}
+
 impl Reader {
-    /// `room` is what all the bodies of open requests may take, in bytes.
-    pub fn new(names: Rc<Names>, classes: Vec<Class>, room: usize) -> Reader {
+    /// `classes` are the platform's, empty where no platform is; `room` is what all the bodies of open requests may
+    /// take, in bytes.
+    pub fn new(
+        pools: Rc<[RunningPool]>,
+        classes: Vec<Class>,
+        operator: Option<Rc<Operator>>,
+        room: usize,
+    ) -> Reader {
         let room = Arc::new(Semaphore::new(room.clamp(BODY_LIMIT, Semaphore::MAX_PERMITS)));
-        Reader { names, classes, ids: Ids::default(), room }
+        Reader { pools, classes, operator, ids: Ids::default(), room }
     }
 
     /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
-    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Own> {
-        let wrong = |text| farewell(StatusCode::BAD_REQUEST, text);
+    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Turned> {
+        let headed = if !self.classes.is_empty() && is_platforms(head.uri.path()) {
+            self.platform(head)?
+        } else if let Some(operator) = &self.operator {
+            self.routed(head, &operator.current())?
+        } else {
+            return Err(Turned::Wrong(StatusCode::NOT_FOUND, "no such path\n"));
+        };
+        self.whole(arrived, headed, body).await
+    }
+
+    /// A request in the platform's form.
+    fn platform(&self, head: Parts) -> Result<Headed, Turned> {
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        // Clients tell lengths. Of a request with both framings hyper has taken the length away by now, so
-        // that one cannot be told from one with the other framing alone.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(farewell(StatusCode::LENGTH_REQUIRED, "no transfer codings\n"));
-        }
+        no_codings(&head)?;
         let Some(id) = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned() else {
             return Err(wrong("X-Trace-Id is missing\n"));
         };
-        let class = self.names.class(header("x-qos").unwrap_or_default());
+        let Some(pool) = self.pools.first() else { return Err(Turned::Full) };
+        let class = pool.names.class(header("x-qos").unwrap_or_default());
         let Some(known) = self.classes.get(class) else {
             return Err(wrong("X-Qos names no class\n"));
         };
-        let length = match head.headers.get(CONTENT_LENGTH) {
-            None if head.method == Method::GET => Some(0),
-            None => return Err(farewell(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n")),
-            Some(length) => length.to_str().ok().and_then(|l| l.parse().ok()),
-        };
+        let length = length(&head, (head.method == Method::GET).then_some(0))?;
         let keyed = head.headers.contains_key("idempotency-key");
         // The class tells how often the request may run; a method that says otherwise is a mistake, and
         // taking it for either could run something twice.
@@ -155,7 +230,7 @@
             return Err(wrong("method, body and Idempotency-Key do not agree with the class\n"));
         }
         // No client waits longer than its class allows.
-        let class_wait = Duration::from_secs_f64(known.deadline_ms.clamp(0.0, 6e5) / 1000.0);
+        let class_wait = wait_of(known.deadline_ms);
         let wait = match head.headers.get(EXPIRES) {
             None => class_wait,
             Some(wait) => match wait.to_str().ok().and_then(|v| v.trim().parse().ok()) {
@@ -163,8 +238,111 @@
                 None => return Err(wrong("X-Expires-In-Ms is no number of milliseconds\n")),
             },
         };
-        if length.is_none_or(|l: usize| l > BODY_LIMIT) {
-            return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+        let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
+        let asked = Asked {
+            id: RequestId(0),
+            class,
+            tenant: header("x-customer").and_then(|t| pool.names.tenant(t)),
+            key: header("x-object").map(stable_hash),
+            deadline_ms: 0.0,
+            effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
+            retry: header("x-second-try") == Some("1"),
+        };
+        let target =
+            head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
+        Ok(Headed {
+            pool: 0,
+            asked,
+            id: Some(id),
+            version: None,
+            length,
+            limit: BODY_LIMIT,
+            wait,
+            method: head.method,
+            target,
+            headers: without_own(head.headers),
+        })
+    }
+
+    /// Any HTTP request, by the route that takes it. What two programs could take for two things is refused.
+    fn routed(&self, head: Parts, version: &Rc<Version>) -> Result<Headed, Turned> {
+        no_codings(&head)?;
+        let length = length(&head, Some(0))?;
+        let Ok(path) = normal_path(head.uri.path()) else {
+            return Err(wrong("the path could mean two things\n"));
+        };
+        // In its normal form it may turn out to be the platform's, whose form it does not have.
+        if !self.classes.is_empty() && is_platforms(&path) {
+            return Err(wrong("the path could mean two things\n"));
+        }
+        let host = match (head.uri.authority(), once(&head.headers, "host")) {
+            (_, Header::Unclear) => return Err(wrong("Host is there twice, or is no text\n")),
+            (Some(authority), _) => Some(authority.as_str()),
+            (None, Header::Once(host)) => Some(host),
+            (None, Header::Absent) => None,
+        };
+        let host = match host.map(normal_host) {
+            Some(None) => return Err(wrong("Host is no host\n")),
+            Some(Some(host)) => Some(host),
+            None => None,
+        };
+        let header = |name: &str| once(&head.headers, name);
+        let asked = routes::Asked {
+            host: host.as_deref(),
+            path: &path,
+            method: head.method.as_str(),
+            header: &header,
+        };
+        let route = match version.rules.find(&asked) {
+            Found::Route(route) => route,
+            Found::Nothing => return Err(Turned::Wrong(StatusCode::NOT_FOUND, "no route takes this\n")),
+            Found::Unclear(_) => return Err(wrong("a header that the route goes by is there twice\n")),
+        };
+        let chosen = version.rules.routes.get(route);
+        let way = version.way(route, &self.pools);
+        let (Some(chosen), Some(way)) = (chosen, way) else { return Err(Turned::Full) };
+        let Some(pool) = self.pools.get(way.pool) else { return Err(Turned::Full) };
+        let figures = Figures::read(&chosen.effective, &path, &head.headers)?;
+        let class = chosen.effective.class.as_ref().and_then(|c| version.rules.file.classes.get(c.value));
+        let keyed = class.and_then(|c| c.effect.as_ref()).is_some_and(|e| e.value == routes::Effect::Keyed);
+        if keyed && !matches!(once(&head.headers, "idempotency-key"), Header::Once(key) if !key.is_empty())
+        {
+            return Err(wrong("Idempotency-Key is missing, or is there twice\n"));
+        }
+        let id = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned();
+        let class_wait = wait_of(chosen.effective.deadline_ms.value);
+        let asked = Asked {
+            id: RequestId(0),
+            class: way.class,
+            tenant: figures.tenant.and_then(|t| pool.names.tenant(t)),
+            key: figures.key.map(stable_hash),
+            deadline_ms: 0.0,
+            effort_ms: None,
+            retry: false,
+        };
+        let target = match head.uri.query() {
+            Some(query) => Uri::try_from(format!("{path}?{query}")),
+            None => Uri::try_from(path.as_ref()),
+        };
+        Ok(Headed {
+            pool: way.pool,
+            asked,
+            id,
+            version: Some(version.clone()),
+            length,
+            limit: usize::try_from(chosen.effective.body_limit.value).unwrap_or(BODY_LIMIT).min(BODY_LIMIT),
+            wait: figures.patience.map_or(class_wait, |p| class_wait.min(p)),
+            target: target.map_err(|_| wrong("the path could mean two things\n"))?,
+            method: head.method,
+            headers: end_to_end(head.headers),
+        })
+    }
+
+    /// The body, and all that is owed from then on.
+    async fn whole(&self, arrived: Instant, headed: Headed, body: Incoming) -> Result<Reading, Turned> {
+        let Headed { pool, asked, id, version, length, limit, wait, method, target, headers } = headed;
+        if length.is_none_or(|l| l > limit) {
+            return Err(Turned::Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit\n"));
         }
         let expires = arrived + wait.saturating_sub(LAST_MARGIN);
         let whole = collect(body, &self.room);
@@ -172,28 +350,63 @@
             .await
         {
             Ok(Ok(whole)) => whole,
-            Ok(Err(Unread::NoRoom)) => return Err(full()),
+            Ok(Err(Unread::NoRoom)) => return Err(Turned::Full),
             Ok(Err(Unread::Broken)) => return Err(wrong("the body cannot be read\n")),
-            Err(_) => return Err(farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
+            Err(_) => {
+                return Err(Turned::Wrong(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"));
+            }
         };
         // Whoever holds back its body holds no id.
-        let Some(id) = self.ids.open(id) else {
-            return Err(farewell(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"));
+        let id = match id.map(|id| self.ids.open(id)) {
+            Some(None) => {
+                return Err(Turned::Wrong(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"));
+            }
+            Some(id) => id,
+            None => None,
         };
-        let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
-        let asked = Asked {
-            id: RequestId(0),
-            class,
-            tenant: header("x-customer").and_then(|t| self.names.tenant(t)),
-            key: header("x-object").map(stable_hash),
-            deadline_ms: 0.0,
-            effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
-            retry: header("x-second-try") == Some("1"),
+        let call = Call { method, target, headers, body, _room: room };
+        let held = Held { _id: id, _version: version };
+        Ok(Reading { pool, asked, call, deadline: arrived + wait.saturating_sub(MARGIN), expires, held })
+    }
+}
+
+fn wait_of(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.clamp(0.0, 6e5) / 1000.0)
+}
+
+/// What a route reads from a request, where it says.
+struct Figures<'h> {
+    tenant: Option<&'h str>,
+    key: Option<&'h str>,
+    patience: Option<Duration>,
+}
+
+impl<'h> Figures<'h> {
+    fn read(
+        route: &'h routes::Effective,
+        path: &'h str,
+        headers: &'h HeaderMap,
+    ) -> Result<Figures<'h>, Turned> {
+        let figure =
+            |source: &'h Option<routes::Held<routes::Source>>| match source.as_ref().map(|s| &s.value) {
+                None => Ok(None),
+                Some(routes::Source::Value(text)) => Ok(Some(text.as_str())),
+                // The first piece is what stands before the first slash: nothing.
+                Some(routes::Source::Segment(n)) => Ok(path.split('/').nth(*n).filter(|s| !s.is_empty())),
+                Some(routes::Source::Header(name)) => match once(headers, name) {
+                    Header::Absent => Ok(None),
+                    Header::Once(text) => Ok(Some(text).filter(|t| !t.is_empty())),
+                    Header::Unclear => Err(wrong("a header that the route reads is there twice\n")),
+                },
+            };
+        let patience = match figure(&route.patience_from)? {
+            None => None,
+            Some(text) => match text.trim().parse() {
+                Ok(ms) => Some(Duration::from_millis(ms)),
+                Err(_) => return Err(wrong("the client's patience is no number of milliseconds\n")),
+            },
         };
-        let target =
-            head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
-        let call = Call { method: head.method, target, headers: onward(head.headers), body, _room: room };
-        Ok(Reading { asked, call, deadline: arrived + wait.saturating_sub(MARGIN), expires, id })
+        Ok(Figures { tenant: figure(&route.tenant)?, key: figure(&route.key)?, patience })
     }
 }
 
@@ -222,11 +435,3 @@
     }
     Ok((kept.freeze(), held))
 }
-
-/// The headers that go on to a backend.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
-    for name in OWN_HEADERS {
-        headers.remove(name);
-    }
-    headers
-}
--- /dev/null
+++ b/crates/node/src/serve.rs
@@ -0,0 +1,209 @@
+//! A node from its start to its end: what it is made of is put together here, and taken apart in order.
+
+use crate::config::Config;
+use crate::discovery::{self, Watch};
+use crate::driver::{Driver, Input};
+use crate::log;
+use crate::operator::{Operator, RunningPool};
+use crate::peers::Peers;
+use crate::request::Reader;
+use crate::server::Server;
+use crate::setup::{PoolSetup, Setup, Source};
+use crate::socket::Descriptors;
+use crate::upstream::Upstream;
+use birchspoke::Balancer;
+use birchspoke::interface::{ListKind, Settings};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+/// Connections that may wait while this node is busy or out of descriptors.
+const BACKLOG: u32 = 1024;
+/// Part of the memory that the bodies of open requests may take, and that the connections' buffers may.
+const BODIES_PART: usize = 4;
+const BUFFERS_PART: usize = 4;
+/// What a connection may read ahead: a head must fit, and no more than a body is of use.
+const LEAST_BUFFER: usize = 8 * 1024;
+const MOST_BUFFER: usize = 64 * 1024;
+/// How often idle connections to backends are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+/// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
+/// before that is failed.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// Time for those failures to be written.
+const FAREWELL: Duration = Duration::from_millis(100);
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Reads the configuration, and the operator's file, again whenever told to. Where the platform's discovery is and
+/// what the file's routes, classes and fixed lists say may change under way; all else holds from start to end.
+/// What is wrong changes nothing.
+async fn reload(
+    mut hangup: Signal,
+    platform: Option<Moved>,
+    operator: Option<Rc<Operator>>,
+    pools: Rc<[RunningPool]>,
+) {
+    while hangup.recv().await.is_some() {
+        if let Some(discovery) = &platform {
+            match Config::reload() {
+                Ok(config) => {
+                    log::line(&format!("configuration read again: discovery is at {}", config.discovery));
+                    discovery.send_replace(config.discovery);
+                }
+                Err(e) => log::line(&format!("configuration kept as it was: {e}")),
+            }
+        }
+        if let Some(operator) = &operator {
+            match operator.reload(&pools).await {
+                Ok(taken) => log::line(&format!("operator's file read again: {taken}")),
+                Err(e) => log::line(&format!("operator's file kept as it was: {e}")),
+            }
+        }
+    }
+}
+
+/// What each pool is put together from, beside its own settings.
+struct Parts {
+    upstream: Rc<Upstream>,
+    peers: Option<Rc<Peers>>,
+    descriptors: Rc<Descriptors>,
+    seed: u64,
+}
+
+/// Tells a pool's watch that discovery has moved.
+type Moved = watch::Sender<SocketAddr>;
+
+/// Starts a pool.
+fn start_pool(pool: PoolSetup, parts: &Parts) -> Result<(RunningPool, Option<Moved>), Box<dyn Error>> {
+    let PoolSetup { name, settings, names, source, known, dialect, own_classes } = pool;
+    let (reporting, mode) = (settings.reporting, settings.discovery);
+    let balancer = Balancer::new(settings, parts.seed)?;
+    let (wish, wishes) = mpsc::unbounded_channel();
+    let driver =
+        Driver::new(balancer, reporting, parts.upstream.clone(), parts.peers.clone(), wish, dialect);
+    driver.take(Input::Start);
+    if let Some(known) = discovery::listing(&known, &names) {
+        driver.take(Input::List(ListKind::Saved, known.targets));
+    }
+    let moved = match source {
+        Source::Discovery(at) => {
+            let (told, address) = watch::channel(at);
+            let (names, descriptors) = (names.clone(), parts.descriptors.clone());
+            let watch = Watch { address, mode, names, descriptors, wishes };
+            spawn_local(watch.run(driver.clone()));
+            Some(told)
+        }
+        Source::Fixed(targets) => {
+            driver.take(Input::List(ListKind::Full, targets));
+            None
+        }
+    };
+    Ok((RunningPool { name, driver, names, own_classes }, moved))
+}
+
+fn longest_deadline(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
+}
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+/// It cannot start: an address is taken, or settings are out of their range.
+pub async fn run(setup: Setup) -> Result<(), Box<dyn Error>> {
+    // Before all else: what these signals do by default is to end the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let mut listeners = Vec::new();
+    for at in &setup.listeners {
+        listeners.push(listen(*at).map_err(|e| format!("listen: {at}: {e}"))?);
+    }
+    let descriptors = Descriptors::new(setup.sockets);
+    let buffer = (setup.memory / BUFFERS_PART / setup.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
+    let upstream = Upstream::new(descriptors.clone(), setup.connect_timeout_ms, setup.conn_idle_ms, buffer);
+    let peers = match setup.peers {
+        Some(p) => {
+            let peers = Peers::new(p.listen, p.nodes, p.all, p.own).await;
+            Some(Rc::new(peers.map_err(|e| format!("peer_listen: {}: {e}", p.listen))?))
+        }
+        None => None,
+    };
+    let longest = setup.pools.iter().map(|p| longest_deadline(&p.settings)).fold(0.0, f64::max);
+    let classes = match setup.pools.first() {
+        Some(first) if setup.platform => {
+            first.settings.classes.iter().take(first.own_classes).cloned().collect()
+        }
+        _ => Vec::new(),
+    };
+    let parts =
+        Parts { upstream: upstream.clone(), peers, descriptors: descriptors.clone(), seed: setup.seed };
+    let (mut pools, mut moves) = (Vec::new(), Vec::new());
+    for pool in setup.pools {
+        let (pool, moved) = start_pool(pool, &parts)?;
+        pools.push(pool);
+        moves.push(moved);
+    }
+    let pools: Rc<[RunningPool]> = pools.into();
+    let operator = setup.operator.map(Rc::new);
+    // The others stay where they are: their watches need the sender to live.
+    let mut moves = moves.into_iter();
+    let platform = if setup.platform { moves.next().flatten() } else { None };
+    let _others: Vec<_> = moves.collect();
+    spawn_local(reload(hangup, platform, operator.clone(), pools.clone()));
+    if let (Some(peers), Some(first)) = (parts.peers.clone(), pools.first()) {
+        let driver = first.driver.clone();
+        spawn_local(async move {
+            loop {
+                let (from, bytes) = peers.receive().await;
+                driver.take(Input::Message(from, bytes));
+            }
+        });
+    }
+    spawn_local(async move {
+        let mut turn = tokio::time::interval(SWEEP);
+        turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            turn.tick().await;
+            upstream.sweep();
+        }
+    });
+    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
+    let reader = Reader::new(pools.clone(), classes, operator, setup.memory / BODIES_PART);
+    let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors);
+    if !setup.warnings.is_empty() {
+        log::line(&format!("the operator's file has warnings\n{}", setup.warnings));
+    }
+    for at in &setup.listeners {
+        log::line(&format!("{} serves on {at}", setup.name));
+    }
+    let accepting: Vec<_> = (listeners.into_iter())
+        .map(|listener| {
+            let server = server.clone();
+            spawn_local(async move { server.accept(listener).await })
+        })
+        .collect();
+    terminate.recv().await;
+    log::line("told to stop: answers what comes and what is there, then ends");
+    let end = Instant::now() + longest + LAST_ANSWERS;
+    server.stop();
+    // Whatever became of the accept loops, what was taken is answered.
+    for accepting in accepting {
+        let _ = tokio::time::timeout_at(end.into(), accepting).await;
+    }
+    server.wind_down(end).await;
+    // Better failed than lost: what is still open would be cut by the end of the process.
+    pools.iter().for_each(|p| p.driver.end_all());
+    server.wind_down(Instant::now() + FAREWELL).await;
+    Ok(())
+}
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,12 +1,13 @@
 //! The client side: connections, what they ask, and the answers they get.
 
-use crate::driver::{Answer, Driver};
+use crate::driver::Answer;
 use crate::log;
-use crate::request::{Own, Reader, Reading, farewell, full, plain};
+use crate::operator::RunningPool;
+use crate::request::{Own, Reader, Reading, Turned, farewell, plain};
 use crate::socket::{Descriptors, Slot, Socket};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -144,7 +145,7 @@
 
 /// The client side of the node.
 pub struct Server {
-    driver: Rc<Driver>,
+    pools: Rc<[RunningPool]>,
     reader: Reader,
     open_cap: usize,
     buffer: usize,
@@ -159,14 +160,14 @@
 impl Server {
     /// A server with no clients yet. `buffer` is what it reads ahead on a connection, in bytes.
     pub fn new(
-        driver: Rc<Driver>,
+        pools: Rc<[RunningPool]>,
         reader: Reader,
         open_cap: usize,
         buffer: usize,
         descriptors: Rc<Descriptors>,
     ) -> Rc<Server> {
         let server = Rc::new(Server {
-            driver,
+            pools,
             reader,
             open_cap,
             buffer,
@@ -258,7 +259,7 @@
     /// From now on every answer closes its connection.
     pub fn stop(&self) {
         self.stopping.set(Some(Instant::now()));
-        self.stop.notify_one();
+        self.stop.notify_waiters();
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
@@ -332,15 +333,13 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        let mut response = if path == "/api" || path.starts_with("/api/") {
+        let mut response = if path != "/up" {
             match self.reader.read(arrived, head, body).await {
                 Ok(reading) => self.ask(reading).await,
-                Err(turned_away) => turned_away,
+                Err(turned_away) => turned_away.into(),
             }
-        } else if path != "/up" {
-            farewell(StatusCode::NOT_FOUND, "no such path\n")
         } else if matches!(head.method, Method::GET | Method::HEAD) {
-            let ready = self.driver.ready() && self.stopping.get().is_none();
+            let ready = self.pools.iter().any(|p| p.driver.ready()) && self.stopping.get().is_none();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             farewell(StatusCode::METHOD_NOT_ALLOWED, "")
@@ -358,12 +357,13 @@
         stay > self.descriptors.limit() / KEPT_PART
     }
 
-    async fn ask(&self, Reading { asked, call, deadline, expires, id }: Reading) -> Own {
-        if self.driver.open() >= self.open_cap {
-            return full();
-        }
-        let answered = answer(self.driver.submit(asked, call, deadline, expires).answer().await);
-        drop(id);
+    async fn ask(&self, Reading { pool, asked, call, deadline, expires, held }: Reading) -> Own {
+        let open: usize = self.pools.iter().map(|p| p.driver.open()).sum();
+        let Some(pool) = self.pools.get(pool).filter(|_| open < self.open_cap) else {
+            return Turned::Full.into();
+        };
+        let answered = answer(pool.driver.submit(asked, call, deadline, expires).answer().await);
+        drop(held);
         answered
     }
 }
@@ -373,9 +373,8 @@
     match answer {
         Answer::Served(reply) => {
             let mut response = Response::new(Full::new(reply.body));
-            if let Some(content_type) = reply.content_type {
-                response.headers_mut().insert(CONTENT_TYPE, content_type);
-            }
+            *response.status_mut() = reply.status;
+            *response.headers_mut() = reply.headers;
             response
         }
         Answer::Refused { retry_after_ms } => {
--- /dev/null
+++ b/crates/node/src/setup.rs
@@ -0,0 +1,182 @@
+//! What a node is made of: from the platform's configuration, an operator's file, or both.
+
+use crate::config::{Config, ConfigError};
+use crate::driver::Target;
+use crate::operator::{self, FileError, Operator};
+use crate::upstream::Dialect;
+use birchspoke::interface::Settings;
+use birchspoke::wire::Names;
+use serde_json::Value;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use thiserror::Error;
+
+/// Where a pool's list comes from.
+pub enum Source {
+    /// From a discovery service, by the platform's protocol.
+    Discovery(SocketAddr),
+    /// From the file.
+    Fixed(Vec<Target>),
+}
+
+/// A pool of backends, for a node that starts.
+pub struct PoolSetup {
+    /// Its name.
+    pub name: String,
+    /// What its decisions go by.
+    pub settings: Settings,
+    /// Names of its classes, tenants and zones.
+    pub names: Rc<Names>,
+    /// Where its list comes from.
+    pub source: Source,
+    /// The list as last had, in discovery's form.
+    pub known: Value,
+    /// What is spoken there.
+    pub dialect: Dialect,
+    /// Classes of its settings that are not the operator's.
+    pub own_classes: usize,
+}
+
+/// The other nodes, where there may be messages between them.
+pub struct PeerSetup {
+    /// Where their datagrams arrive.
+    pub listen: SocketAddr,
+    /// All nodes, by number.
+    pub nodes: Vec<SocketAddr>,
+    /// Reaches all of them.
+    pub all: Option<SocketAddr>,
+    /// This node's number.
+    pub own: u32,
+}
+
+/// A node that may start.
+pub struct Setup {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listeners: Vec<SocketAddr>,
+    /// Seed of the decisions.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that it may take, in bytes.
+    pub memory: usize,
+    /// Requests that it may hold open.
+    pub open_cap: usize,
+    /// A connection to a backend not made by then is not made, in milliseconds.
+    pub connect_timeout_ms: f64,
+    /// Backends close idle connections after this, in milliseconds.
+    pub conn_idle_ms: f64,
+    /// The first pool is the platform's, and `/api` is its own.
+    pub platform: bool,
+    /// All pools; one at least.
+    pub pools: Vec<PoolSetup>,
+    /// The other nodes.
+    pub peers: Option<PeerSetup>,
+    /// The operator's file.
+    pub operator: Option<Operator>,
+    /// What the check warns of in it.
+    pub warnings: String,
+}
+
+/// Why no node can be started.
+#[derive(Debug, Error)]
+pub enum SetupError {
+    /// Neither of the two is named.
+    #[error(
+        "configuration: LB_CONFIG is not set, and there is no operator's file (--config FILE or LB_OPERATOR)"
+    )]
+    Neither,
+    /// The platform's configuration is wrong.
+    #[error("configuration: {0}")]
+    Config(#[from] ConfigError),
+    /// The operator's file is.
+    #[error("operator's file: {0}")]
+    File(#[from] FileError),
+}
+
+impl Setup {
+    /// Reads what there is: `LB_CONFIG`, the operator's file, or both.
+    ///
+    /// # Errors
+    /// There is none, or one is wrong.
+    pub fn load(operator: Option<&Path>) -> Result<Setup, SetupError> {
+        match (std::env::var_os("LB_CONFIG").is_some(), operator) {
+            (false, None) => Err(SetupError::Neither),
+            (true, file) => Setup::platform(Config::load()?, file),
+            (false, Some(file)) => Setup::operator(file),
+        }
+    }
+
+    fn platform(config: Config, file: Option<&Path>) -> Result<Setup, SetupError> {
+        let settings = config.settings;
+        let names = Rc::new(config.names);
+        let allowed = || operator::platform(&settings, &names);
+        let start = file.map(|f| Operator::start(f, Some(allowed()), 1)).transpose()?;
+        let own_classes = settings.classes.len();
+        let peers = config.peer_listen.filter(|_| settings.peer_messages).map(|listen| PeerSetup {
+            listen,
+            nodes: config.peers,
+            all: config.peers_all,
+            own: settings.slot,
+        });
+        let (open_cap, connect_timeout_ms) = (settings.open_cap as usize, settings.connect_timeout_ms);
+        let conn_idle_ms = settings.conn_idle_ms;
+        let mut pools = vec![PoolSetup {
+            name: applemill_routes::PLATFORM_POOL.to_owned(),
+            settings,
+            names,
+            source: Source::Discovery(config.discovery),
+            known: config.known,
+            dialect: Dialect::Platform,
+            own_classes,
+        }];
+        let (mut operator, mut warnings) = (None, String::new());
+        if let Some(start) = start {
+            if let Some(own) = pools.first_mut() {
+                own.settings.classes.extend(start.operator.classes());
+            }
+            pools.extend(start.pools);
+            (operator, warnings) = (Some(start.operator), start.warnings);
+        }
+        Ok(Setup {
+            name: config.name,
+            listeners: vec![config.listen],
+            seed: config.seed,
+            sockets: config.sockets,
+            memory: config.memory,
+            open_cap,
+            connect_timeout_ms,
+            conn_idle_ms,
+            platform: true,
+            pools,
+            peers,
+            operator,
+            warnings,
+        })
+    }
+
+    fn operator(file: &Path) -> Result<Setup, SetupError> {
+        let start = Operator::start(file, None, 0)?;
+        let version = start.operator.current();
+        let (node, listeners) = (&version.rules.file.node, &version.rules.file.listeners);
+        Ok(Setup {
+            name: node.name.clone(),
+            listeners: listeners.iter().map(|l| l.address.value).collect(),
+            // Nobody hands in a seed here; that of hash tables is drawn anew with each process.
+            seed: RandomState::new().hash_one(std::process::id()),
+            sockets: node.sockets as usize,
+            memory: usize::try_from(node.memory).unwrap_or(usize::MAX),
+            open_cap: node.open_requests as usize,
+            connect_timeout_ms: node.connect_timeout_ms,
+            conn_idle_ms: node.idle_timeout_ms,
+            platform: false,
+            pools: start.pools,
+            peers: None,
+            operator: Some(start.operator),
+            warnings: start.warnings,
+        })
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
@@ -58,10 +61,21 @@
 /// A whole answer of a backend.
 #[derive(Debug)]
 pub struct Reply {
+    /// Its status; 200 where the platform's protocol is spoken.
+    pub status: StatusCode,
+    /// The headers that go on; there, what kind of body it is, if told.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// What kind of body that is, if told.
-    pub content_type: Option<HeaderValue>,
+}
+
+/// What backends speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dialect {
+    /// The platform's protocol: 200 alone is an answer.
+    Platform,
+    /// Any HTTP: whatever is no server's error is an answer, and goes on as it is.
+    Plain,
 }
 
 /// How an attempt or a probe ended.
@@ -263,6 +277,8 @@
     pub call: Rc<Call>,
     /// When to stop waiting.
     pub until: Instant,
+    /// What is spoken there.
+    pub dialect: Dialect,
 }
 
 /// The connections to backends.
@@ -400,7 +416,7 @@
             self.ages.borrow_mut().note(age, broke);
         }
         let outcome = match answer {
-            Ok(Ok(answer)) => return (finish(answer), Some(conn)),
+            Ok(Ok(answer)) => return (finish(answer, errand.dialect), Some(conn)),
             // Not one byte of it left this node: it never ran.
             _ if conn.socket.written() == written => Outcome::NotConnected,
             // What was written may have run. A backend that says anything at all is not silent.
@@ -447,7 +463,7 @@
             }
             Ok(Ok(answer)) => {
                 let text = String::from_utf8_lossy(answer.body()).into_owned();
-                let mut end = finish(answer);
+                let mut end = finish(answer, Dialect::Platform);
                 end.load = wire::load_report(&text);
                 (end, Some(conn))
             }
@@ -473,19 +489,61 @@
     }
 }
 
+/// Headers that concern one connection only, or that are made anew.
+const OWN_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// The headers that go on: without those of the connection, and those that it names as such (RFC 9110, 7.6.1).
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = (headers.get_all(CONNECTION).iter())
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    without_own(headers)
+}
+
+/// The headers without those of the connection.
+pub fn without_own(mut headers: HeaderMap) -> HeaderMap {
+    for name in OWN_HEADERS {
+        headers.remove(name);
+    }
+    headers
+}
+
 /// What a backend's whole answer says.
-fn finish(answer: Response<Bytes>) -> Finish {
-    let (head, body) = answer.into_parts();
+fn finish(answer: Response<Bytes>, dialect: Dialect) -> Finish {
+    let (mut head, body) = answer.into_parts();
     let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
     let load = header(LOAD).map(wire::load_report).unwrap_or_default();
     let unseen = header(NEVER_RAN) == Some("1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Done,
+        status if dialect == Dialect::Plain && !status.is_server_error() => Outcome::Done,
         // The only proof that a backend gives; any other status may have run.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Outcome::Full,
         _ => Outcome::Error,
     };
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let reply = (outcome == Outcome::Done).then_some(Reply { body, content_type });
+    let reply = (outcome == Outcome::Done).then(|| {
+        let headers = match dialect {
+            Dialect::Platform => {
+                head.headers.remove(CONTENT_TYPE).map(|v| (CONTENT_TYPE, v)).into_iter().collect()
+            }
+            Dialect::Plain => end_to_end(head.headers),
+        };
+        Reply { status: head.status, headers, body }
+    });
     Finish { outcome, reply, load }
 }
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -10,6 +10,7 @@
 mod path;
 mod read;
 mod report;
+mod slots;
 
 pub use effective::{BODY_LIMIT, Effective, Held, MARGIN_MS, Origin, Term};
 pub use explain::{Request, explain};
@@ -22,6 +23,7 @@
 pub use path::{Unclear, normal_host, normal_path};
 pub use read::LONGEST_FILE;
 pub use report::{Finding, Report, Severity, Spot};
+pub use slots::{Lease, Placed, Slots};
 
 use check::Check;
 
