--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -2,12 +2,14 @@
 
 use crate::operator::{self, FileError};
 use crate::setup::Setup;
-use crate::{config, log, serve};
+use crate::{config, demo, log, serve};
 use applemill_routes::{Platform, Request, Severity, explain, load_bytes, schema};
 use clap::{Args, Parser, Subcommand};
+use std::error::Error;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::task::LocalSet;
 
 /// What a file that is refused, or cannot be read, ends the program with.
@@ -52,6 +54,16 @@
         #[arg(short = 'H', long = "header", value_name = "HEADER")]
         headers: Vec<String>,
     },
+    /// Starts a node with routes before a floor of stand-in servers, serves a light stream of bids and pages, and shows
+    /// what becomes of them. Exit code 1: a bid ran twice, or nothing could be started.
+    Demo {
+        /// How long; until interrupted if absent.
+        #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=86_400))]
+        seconds: Option<u64>,
+        /// One JSON object at the end, for programs.
+        #[arg(long)]
+        json: bool,
+    },
     /// Prints a JSON Schema of the operator's file, for editors.
     Schema,
 }
@@ -88,6 +100,7 @@
         Some(Command::Run { config }) => run(config.as_deref()),
         Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Explain { file, request, headers }) => tell(&file, &request, &headers),
+        Some(Command::Demo { seconds, json }) => demonstrate(seconds.map(Duration::from_secs), json),
         Some(Command::Schema) => {
             print(&format!("{:#}\n", schema()));
             ExitCode::SUCCESS
@@ -96,7 +109,7 @@
 }
 
 /// Writes to standard output; a reader that has gone is no error.
-fn print(text: &str) {
+pub fn print(text: &str) {
     let _ = std::io::stdout().write_all(text.as_bytes());
 }
 
@@ -111,15 +124,22 @@
         Ok(setup) => setup,
         Err(e) => return refuse(&e.to_string()),
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            log::line(&format!("no runtime: {e}"));
-            return ExitCode::FAILURE;
-        }
+    block_on(async { serve::run(setup).await.map(|()| true) })
+}
+
+fn demonstrate(length: Option<Duration>, json: bool) -> ExitCode {
+    block_on(demo::run(length, json))
+}
+
+/// Runs a task on one thread; it fails where it says so, or ends with an error.
+fn block_on(task: impl Future<Output = Result<bool, Box<dyn Error>>>) -> ExitCode {
+    let done = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, task),
+        Err(e) => Err(format!("no runtime: {e}").into()),
     };
-    match LocalSet::new().block_on(&runtime, serve::run(setup)) {
-        Ok(()) => ExitCode::SUCCESS,
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(e) => {
             log::line(&e.to_string());
             ExitCode::FAILURE
--- /dev/null
+++ b/crates/node/src/demo.rs
@@ -0,0 +1,252 @@
+//! The demonstration: a floor of stand-in servers within this process, a node with routes before it as a process of
+//! its own, a light stream of bids and pages, and a table of what became of them.
+
+use crate::cli::print;
+use applemill_stand_ins::{Auction, BID_ID, Client, Faults, free_address};
+use serde_json::{Value, json};
+use std::error::Error;
+use std::fmt::Write;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 3;
+const WORK: Duration = Duration::from_millis(5);
+/// Pause of a client after each answer.
+const PAUSE: Duration = Duration::from_millis(20);
+const CLIENTS: usize = 4;
+/// A node that does not answer so soon after its start has failed.
+const START: Duration = Duration::from_secs(10);
+/// Between two states of the table.
+const TURN: Duration = Duration::from_secs(1);
+/// A little of everything goes wrong.
+const FAULTS: Faults = Faults {
+    lost: 0.005,
+    unanswered: 0.005,
+    error: 0.005,
+    turned_away: 0.03,
+    late: 0.01,
+    late_by: Duration::from_millis(120),
+};
+
+/// What became of one kind of requests.
+#[derive(Default)]
+struct Tally {
+    served: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    /// Times of what was served, the latest thousand, in milliseconds.
+    times: Mutex<Vec<f64>>,
+}
+
+impl Tally {
+    fn note(&self, status: u16, time: Duration) {
+        let counter = match status {
+            200 => &self.served,
+            429 | 503 => &self.refused,
+            _ => &self.failed,
+        };
+        let n = counter.fetch_add(1, Ordering::Relaxed);
+        if status == 200
+            && let Ok(mut times) = self.times.lock()
+        {
+            let ms = time.as_secs_f64() * 1000.0;
+            match times.get_mut((n % 1000) as usize) {
+                Some(old) => *old = ms,
+                None => times.push(ms),
+            }
+        }
+    }
+
+    fn percentile(&self, part: f64) -> f64 {
+        let mut times = self.times.lock().map(|t| t.clone()).unwrap_or_default();
+        times.sort_by(f64::total_cmp);
+        times
+            .get(((times.len() as f64 * part) as usize).min(times.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(0.0)
+    }
+
+    fn json(&self) -> Value {
+        let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        json!({"served": count(&self.served), "refused": count(&self.refused), "failed": count(&self.failed),
+               "p50_ms": self.percentile(0.5), "p99_ms": self.percentile(0.99)})
+    }
+}
+
+fn operator_file(listen: SocketAddr, servers: &[SocketAddr]) -> String {
+    let servers: Vec<String> = servers.iter().map(|a| format!("{{ address = \"{a}\" }}")).collect();
+    format!(
+        "# The demonstration's node: pages may be asked for again, a bid must never run twice.\n\
+         [[listener]]\nname = \"front\"\naddress = \"{listen}\"\n\n\
+         [pool.floor]\nservers = [{}]\n\n\
+         [class.page]\neffect = \"safe\"\npatience = \"4s\"\naim = \"1s\"\nretry = \"may-have-run\"\n\
+         attempt_timeout = \"1s\"\n\n\
+         [class.bid]\neffect = \"unsafe\"\npatience = \"900ms\"\nworth = 10\n\n\
+         [[route]]\nname = \"bid\"\npath = \"/api/bid\"\nmethod = \"POST\"\nclass = \"bid\"\npool = \"floor\"\n\n\
+         [[route]]\nname = \"page\"\nmethod = [\"GET\", \"HEAD\"]\nclass = \"page\"\npool = \"floor\"\n\
+         key = {{ segment = 2 }}\nsecond_copy_after = \"60ms\"\n",
+        servers.join(", ")
+    )
+}
+
+/// A node as a process of its own, and its file; both end with this.
+struct Node {
+    child: Child,
+    file: PathBuf,
+}
+
+impl Node {
+    fn start(file: &Path) -> std::io::Result<Node> {
+        let child = Command::new(std::env::current_exe()?)
+            .arg("run")
+            .arg("--config")
+            .arg(file)
+            .env_remove("LB_CONFIG")
+            .env_remove("LB_OPERATOR")
+            .stderr(Stdio::null())
+            .spawn();
+        match child {
+            Ok(child) => Ok(Node { child, file: file.to_owned() }),
+            Err(e) => {
+                let _ = std::fs::remove_file(file);
+                Err(e)
+            }
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// One client: bids and pages in turn, on one connection for as long as that holds.
+fn client(number: usize, node: SocketAddr, over: &AtomicBool, bids: &Tally, pages: &Tally) {
+    let mut kept: Option<Client> = None;
+    let mut n = 0_u64;
+    while !over.load(Ordering::Relaxed) {
+        n += 1;
+        let bid = n.is_multiple_of(4);
+        let text = if bid {
+            let head = format!("Host: floor\r\n{BID_ID}: {number}-{n}\r\nContent-Length: 3\r\n");
+            format!("POST /api/bid HTTP/1.1\r\n{head}\r\n100")
+        } else {
+            format!("GET /lots/{} HTTP/1.1\r\nHost: floor\r\n\r\n", n % 50)
+        };
+        let begun = Instant::now();
+        let status = kept.take().or_else(|| Client::try_connect(node)).and_then(|mut client| {
+            client.send(text.as_bytes());
+            let answer = client.answer()?;
+            if answer.header("connection") != Some("close") {
+                kept = Some(client);
+            }
+            Some(answer.status())
+        });
+        if bid { bids } else { pages }.note(status.unwrap_or(0), begun.elapsed());
+        thread::sleep(PAUSE);
+    }
+}
+
+fn table(bids: &Tally, pages: &Tally, floor: &Auction) -> String {
+    let mut out = String::new();
+    // Writing to a String cannot fail.
+    let _ = writeln!(
+        out,
+        "{:<8} {:>8} {:>8} {:>8} {:>9} {:>9}",
+        "route", "served", "refused", "failed", "p50 ms", "p99 ms"
+    );
+    for (name, tally) in [("bid", bids), ("page", pages)] {
+        let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        let (served, refused, failed) = (count(&tally.served), count(&tally.refused), count(&tally.failed));
+        let (half, most) = (tally.percentile(0.5), tally.percentile(0.99));
+        let _ = writeln!(out, "{name:<8} {served:>8} {refused:>8} {failed:>8} {half:>9.1} {most:>9.1}");
+    }
+    let (executed, twice) = floor.executed();
+    let (turned_away, failed) = floor.trouble();
+    let _ = writeln!(
+        out,
+        "floor: {:?} requests a server, {turned_away} turned away, {failed} failed; {executed} bids executed, {twice} of \
+         them twice",
+        floor.asked()
+    );
+    out
+}
+
+/// Runs it for so long, or until it is interrupted; the exit says whether no bid ran twice.
+///
+/// # Errors
+/// No floor or no node could be started.
+pub async fn run(length: Option<Duration>, as_json: bool) -> Result<bool, Box<dyn Error>> {
+    let floor = Auction::start(SERVERS, 1, WORK, FAULTS)?;
+    let listen = free_address();
+    let file = std::env::temp_dir().join(format!("applemill-demo-{}.toml", std::process::id()));
+    std::fs::write(&file, operator_file(listen, &floor.addresses))?;
+    let mut node = Node::start(&file)?;
+    let begun = Instant::now();
+    let up = || {
+        applemill_stand_ins::attempt(listen, b"GET /up HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+    };
+    while up().is_none_or(|answer| answer.status() != 200) {
+        if begun.elapsed() > START || node.child.try_wait()?.is_some() {
+            return Err("the node did not start".into());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let (bids, pages) = (Arc::new(Tally::default()), Arc::new(Tally::default()));
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (over, bids, pages) = (over.clone(), bids.clone(), pages.clone());
+            thread::spawn(move || client(number, listen, &over, &bids, &pages))
+        })
+        .collect();
+    if !as_json {
+        let shown = file.display();
+        print(&format!(
+            "a node before {SERVERS} floor servers, by {shown}\ntry: curl -i -d 100 -H '{BID_ID}: mine' \
+             http://{listen}/api/bid\n     curl -i http://{listen}/lots/7\n\n"
+        ));
+    }
+    let end = length.map(|l| begun + l);
+    let interrupted = tokio::signal::ctrl_c();
+    tokio::pin!(interrupted);
+    let live = std::io::stdout().is_terminal() && !as_json;
+    let mut drawn = 0;
+    while end.is_none_or(|e| Instant::now() < e) {
+        let turn = end.map_or(TURN, |e| TURN.min(e.saturating_duration_since(Instant::now())));
+        tokio::select! {
+            _ = &mut interrupted => break,
+            () = tokio::time::sleep(turn) => {}
+        }
+        if live {
+            let text = table(&bids, &pages, &floor);
+            let back = if drawn > 0 { format!("\x1b[{drawn}A") } else { String::new() };
+            drawn = text.lines().count();
+            print(&format!("{back}{}", text.lines().map(|l| format!("\x1b[2K{l}\n")).collect::<String>()));
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let (executed, twice) = floor.executed();
+    if as_json {
+        let report = json!({"bids": bids.json(), "pages": pages.json(), "bids_executed": executed,
+                            "bids_executed_twice": twice, "requests_by_server": floor.asked(),
+                            "seconds": begun.elapsed().as_secs_f64()});
+        print(&format!("{report}\n"));
+    } else if !live {
+        print(&table(&bids, &pages, &floor));
+    }
+    drop(node);
+    Ok(twice == 0)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod config;
+mod demo;
 mod discovery;
 mod driver;
 mod log;
--- a/crates/stand-ins/src/floor.rs
+++ b/crates/stand-ins/src/floor.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Message, reply};
 use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -83,42 +83,65 @@
 
 fn backend_on(listener: TcpListener, record: &Record, script: Script) {
     let record = record.clone();
+    serve(listener, move || {
+        let (record, script) = (record.clone(), script.clone());
+        record.opened.fetch_add(1, Ordering::SeqCst);
+        let closed = Closed(record.closed.clone());
+        move |message: &Message| {
+            let _ = &closed;
+            let n = record.seen.lock().map_or(0, |mut seen| {
+                seen.push(message.clone());
+                seen.len() - 1
+            });
+            script(n, message)
+        }
+    });
+}
+
+/// Counts a connection's end by being dropped.
+struct Closed(Arc<AtomicU32>);
+
+impl Drop for Closed {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Serves connections, a thread each; `opened` gives what answers the requests of one.
+pub(crate) fn serve<A>(listener: TcpListener, opened: impl Fn() -> A + Send + 'static)
+where
+    A: FnMut(&Message) -> Act + Send + 'static,
+{
     thread::spawn(move || {
         for stream in listener.incoming() {
             let Ok(stream) = stream else { return };
-            let (record, script) = (record.clone(), script.clone());
-            record.opened.fetch_add(1, Ordering::SeqCst);
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().unwrap());
-                let mut stream = stream;
-                while let Some(message) = Message::read(&mut reader) {
-                    let n = {
-                        let mut seen = record.seen.lock().unwrap();
-                        seen.push(message.clone());
-                        seen.len() - 1
-                    };
-                    match script(n, &message) {
-                        Act::Say(bytes) => drop(stream.write_all(&bytes)),
-                        Act::SayAndClose(bytes) => {
-                            let _ = stream.write_all(&bytes);
-                            break;
-                        }
-                        Act::SayAndCloseLater(bytes) => {
-                            let _ = stream.write_all(&bytes);
-                            thread::sleep(Duration::from_millis(50));
-                            break;
-                        }
-                        Act::SayAndThen(bytes, wait, rest) => {
-                            let _ = stream.write_all(&bytes);
-                            thread::sleep(wait);
-                            let _ = stream.write_all(&rest);
-                        }
-                        Act::Silent => {}
-                    }
-                }
-                drop((stream, reader));
-                record.closed.fetch_add(1, Ordering::SeqCst);
-            });
+            let act = opened();
+            thread::spawn(move || converse(stream, act));
         }
     });
 }
+
+fn converse(mut stream: TcpStream, mut act: impl FnMut(&Message) -> Act) {
+    let Ok(copy) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(copy);
+    while let Some(message) = Message::read(&mut reader) {
+        match act(&message) {
+            Act::Say(bytes) => drop(stream.write_all(&bytes)),
+            Act::SayAndClose(bytes) => {
+                let _ = stream.write_all(&bytes);
+                return;
+            }
+            Act::SayAndCloseLater(bytes) => {
+                let _ = stream.write_all(&bytes);
+                thread::sleep(Duration::from_millis(50));
+                return;
+            }
+            Act::SayAndThen(bytes, wait, rest) => {
+                let _ = stream.write_all(&bytes);
+                thread::sleep(wait);
+                let _ = stream.write_all(&rest);
+            }
+            Act::Silent => {}
+        }
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,12 +1,14 @@
 //! What stands round a node, in small and on loopback: floor servers, discovery, clients, and the node's own
 //! process. For tests, tools and the demonstration; it knows the protocols and leaves every decision to the node.
 
+mod auction;
 mod client;
 mod discovery;
 mod floor;
 mod http;
 mod node;
 
+pub use auction::*;
 pub use client::*;
 pub use discovery::*;
 pub use floor::*;
