--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -170,7 +170,9 @@
     } else {
         let (errors, warnings) = (report.count(Severity::Error), report.count(Severity::Warning));
         let verdict = if rules.is_some() { "may be used" } else { "is refused" };
-        print(&format!("{}{shown} {verdict}: {errors} errors, {warnings} warnings\n", report.text(&shown)));
+        let many = |n: usize, word: &str| format!("{n} {word}{}", if n == 1 { "" } else { "s" });
+        let counted = format!("{}, {}", many(errors, "error"), many(warnings, "warning"));
+        print(&format!("{}{shown} {verdict}: {counted}\n", report.text(&shown)));
     }
     if rules.is_some() { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
 }
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -38,7 +38,7 @@
             self.platform_route(route, e);
         }
         self.unused();
-        self.report.sort();
+        self.report.settle();
     }
 
     fn error(
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -109,10 +109,7 @@
 /// report refuses the file.
 pub fn load(text: &str, platform: Option<&Platform>) -> (Report, Option<Rules>) {
     let mut report = Report::default();
-    let Some(mut file) = read::read(text, &mut report) else {
-        report.sort();
-        return (report, None);
-    };
+    let mut file = read::read(text, &mut report);
     if let Some(platform) = platform {
         adopt(&mut file, platform);
     }
--- a/crates/routes/src/path.rs
+++ b/crates/routes/src/path.rs
@@ -19,6 +19,8 @@
     HiddenSlash,
     /// `%` without two hex digits.
     BadEncoding,
+    /// A question mark or a number sign: what follows is no path.
+    NotPath,
     /// A control byte, a space or a byte beyond ASCII, or an encoded control byte.
     Control,
 }
@@ -31,6 +33,7 @@
             Unclear::EmptySegment => "the path has an empty segment",
             Unclear::HiddenSlash => "the path has an encoded slash or a backslash",
             Unclear::BadEncoding => "the path has a percent sign without two hex digits",
+            Unclear::NotPath => "the path has a question mark or a number sign",
             Unclear::Control => "the path has a control byte, a space or a byte beyond ASCII",
         })
     }
@@ -77,7 +80,8 @@
                 }
             }
             b'\\' => return Err(Unclear::HiddenSlash),
-            b if b.is_ascii_graphic() && b != b'?' && b != b'#' => normal.push(char::from(b)),
+            b'?' | b'#' => return Err(Unclear::NotPath),
+            b if b.is_ascii_graphic() => normal.push(char::from(b)),
             _ => return Err(Unclear::Control),
         }
     }
@@ -165,7 +169,7 @@
             ("/api%00", Unclear::Control),
             ("/a b", Unclear::Control),
             ("/é", Unclear::Control),
-            ("/a?b", Unclear::Control),
+            ("/a?b", Unclear::NotPath),
         ] {
             assert_eq!(normal_path(path), Err(why), "{path}");
         }
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -29,24 +29,22 @@
     report: Report,
 }
 
-/// Reads a file; the report has what was wrong with its form.
-pub(crate) fn read(text: &str, report: &mut Report) -> Option<File> {
+/// Reads a file; the report has what was wrong with its form. What could be made of a broken file comes too: the
+/// rest of it is checked all the same, and its mistakes are told in the same go.
+pub(crate) fn read(text: &str, report: &mut Report) -> File {
     let lines = Lines::of(text);
     let (document, errors) = DeTable::parse_recoverable(text);
-    let broken = !errors.is_empty();
     for error in errors {
         let at = lines.spot(error.span().map_or(0, |s| s.start));
         let found = error.message().lines().next().unwrap_or_default().to_owned();
-        report.findings.push(Finding::error("form", at, "file", found, "TOML 1.0"));
-    }
-    if broken {
-        // What is left of a broken file says nothing of what was meant.
-        return None;
+        let quotes = found.contains("quoted");
+        let right = if quotes { "quotes round it, such as \"300ms\"" } else { "TOML, version 1.0 or 1.1" };
+        report.findings.push(Finding::error("form", at, "file", found, right));
     }
     let mut reader = Reader { lines, report: std::mem::take(report) };
     let file = reader.file(document.get_ref());
     *report = reader.report;
-    Some(file)
+    file
 }
 
 impl Reader {
--- a/crates/routes/src/read/section.rs
+++ b/crates/routes/src/read/section.rs
@@ -32,7 +32,7 @@
                 let field =
                     if title.is_empty() { format!("{name:?}") } else { format!("{title}: {name:?}") };
                 reader.error(
-                    "unknown-name",
+                    "unknown-field",
                     at,
                     field,
                     "no field has this name".into(),
@@ -343,7 +343,8 @@
                 continue;
             };
             let at = self.reader.spot(item);
-            let title = format!("{title} {}", n + 1);
+            let own = table.get("name").and_then(|name| name.get_ref().as_str());
+            let title = own.map_or_else(|| format!("{title} {}", n + 1), |own| format!("{title} {own:?}"));
             all.extend(read(&mut Section::new(self.reader, table, title, fields), at));
         }
         all
--- a/crates/routes/src/report.rs
+++ b/crates/routes/src/report.rs
@@ -99,7 +99,24 @@
         self.findings.iter().filter(|f| f.severity == severity).count()
     }
 
-    pub(crate) fn sort(&mut self) {
+    /// In order, each once, and without what follows from another finding: where the form is broken much seems to be
+    /// missing or unused, and a value that cannot be read is not absent.
+    pub(crate) fn settle(&mut self) {
+        let broken = self.findings.iter().any(|f| f.rule == "form");
+        let fields: Vec<String> =
+            self.findings.iter().filter(|f| f.rule != "missing").map(|f| f.field.clone()).collect();
+        self.findings.retain(|f| match f.rule {
+            "missing" => {
+                let within = |other: &String| {
+                    other
+                        .strip_prefix(f.field.as_str())
+                        .is_some_and(|r| r.is_empty() || r.starts_with([' ', ':']))
+                };
+                !broken && !fields.iter().any(within)
+            }
+            "unused" | "unknown-name" => !broken,
+            _ => true,
+        });
         self.findings.sort_by(|a, b| {
             (a.at, a.severity, a.rule, &a.field).cmp(&(b.at, b.severity, b.rule, &b.field))
         });
--- /dev/null
+++ b/crates/routes/tests/bad_files.rs
@@ -0,0 +1,36 @@
+//! Every bad file of `tests/bad` has just the report beside it. `APPLEMILL_WRITE_REPORTS=1` writes them anew, to be
+//! read before they are committed.
+
+use applemill_routes::load_bytes;
+use std::path::Path;
+
+#[test]
+fn each_bad_file_has_just_its_report() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/bad");
+    let mut names: Vec<String> = (std::fs::read_dir(&folder).expect("the folder"))
+        .filter_map(|f| f.ok()?.file_name().to_str()?.strip_suffix(".toml").map(str::to_owned))
+        .collect();
+    names.sort();
+    assert!(names.len() >= 60, "{} files", names.len());
+    let mut differ = Vec::new();
+    for name in names {
+        let bytes = std::fs::read(folder.join(format!("{name}.toml"))).expect("a file");
+        let (report, rules) = load_bytes(&bytes, None);
+        assert!(rules.is_none() && report.refused(), "{name} is not refused");
+        let text = report.text(&format!("{name}.toml"));
+        let beside = folder.join(format!("{name}.report"));
+        if std::env::var_os("APPLEMILL_WRITE_REPORTS").is_some() {
+            std::fs::write(beside, text).expect("a report");
+        } else if std::fs::read_to_string(beside).unwrap_or_default() != text {
+            differ.push(format!("{name}:\n{text}"));
+        }
+    }
+    assert!(differ.is_empty(), "other reports than those beside the files:\n{}", differ.join("\n"));
+}
+
+#[test]
+fn the_examples_are_accepted_without_a_warning() {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/operator.toml");
+    let (report, rules) = load_bytes(&std::fs::read(example).expect("the example"), None);
+    assert_eq!((report.text("operator.toml").as_str(), rules.is_some()), ("", true));
+}
