Tests of routes with the real program: paths, hosts, limits, bids through faults, reload

2,000 bids through resets, late answers and refusals: none executed twice, every answer in time, by the floor's own count. What a reload logs of a report is bounded.

--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -36,6 +36,8 @@
 /// before that is failed.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// Characters of a report that are logged.
+const LOGGED: usize = 4000;
 /// Time for those failures to be written.
 const FAREWELL: Duration = Duration::from_millis(100);
 
@@ -67,13 +69,23 @@
         }
         if let Some(operator) = &operator {
             match operator.reload(&pools).await {
-                Ok(taken) => log::line(&format!("operator's file read again: {taken}")),
-                Err(e) => log::line(&format!("operator's file kept as it was: {e}")),
+                Ok(taken) => log::line(&first_of(&format!("operator's file read again: {taken}"))),
+                Err(e) => log::line(&first_of(&format!("operator's file kept as it was: {e}"))),
             }
         }
     }
 }
 
+/// So much of a report as a log that the loop waits for may take; `applemill check` tells all.
+fn first_of(text: &str) -> String {
+    match text.char_indices().nth(LOGGED) {
+        Some((end, _)) => {
+            format!("{} ... (applemill check FILE tells all)", text.get(..end).unwrap_or_default())
+        }
+        None => text.to_owned(),
+    }
+}
+
 /// What each pool is put together from, beside its own settings.
 struct Parts {
     upstream: Rc<Upstream>,
@@ -182,7 +194,7 @@
     let reader = Reader::new(pools.clone(), classes, operator, setup.memory / BODIES_PART);
     let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors);
     if !setup.warnings.is_empty() {
-        log::line(&format!("the operator's file has warnings\n{}", setup.warnings));
+        log::line(&first_of(&format!("the operator's file has warnings\n{}", setup.warnings)));
     }
     for at in &setup.listeners {
         log::line(&format!("{} serves on {at}", setup.name));
--- /dev/null
+++ b/crates/node/tests/node_routes.rs
@@ -0,0 +1,343 @@
+//! The real program on an operator's file: routes, what requests may mean, and the rules on what runs twice.
+
+use applemill_stand_ins::*;
+use serde_json::json;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Listener and one pool of these servers.
+fn head(servers: &[SocketAddr]) -> String {
+    let servers: Vec<String> = servers.iter().map(|a| format!("{{ address = \"{a}\" }}")).collect();
+    format!("[[listener]]\naddress = \"LISTEN\"\n[pool.floor]\nservers = [{}]\n", servers.join(", "))
+}
+
+const CLASSES: &str = "[class.page]\neffect = \"safe\"\npatience = \"4s\"\nretry = \"may-have-run\"\n\
+                       [class.bid]\neffect = \"unsafe\"\npatience = \"900ms\"\n\
+                       [class.pay]\neffect = \"keyed\"\npatience = \"4s\"\nrepeats_dropped_by = \"pool\"\n\
+                       repeats_dropped_for = \"5s\"\nretry = \"may-have-run\"\nattempts = 2\nattempt_timeout = \"1s\"\n";
+
+fn route(name: &str, matching: &str, class: &str) -> String {
+    format!("[[route]]\nname = \"{name}\"\n{matching}\nclass = \"{class}\"\npool = \"floor\"\n")
+}
+
+fn get(address: SocketAddr, path: &str, headers: &str) -> Message {
+    ask(address, format!("GET {path} HTTP/1.1\r\n{headers}\r\n").as_bytes())
+}
+
+fn post(path: &str, headers: &str) -> Vec<u8> {
+    format!("POST {path} HTTP/1.1\r\nHost: a.lv\r\nContent-Length: 3\r\n{headers}\r\n100").into_bytes()
+}
+
+/// What the backends were sent: the request lines.
+fn lines(record: &Record) -> Vec<String> {
+    record.seen.lock().unwrap().iter().map(|m| m.first_line.clone()).collect()
+}
+
+#[test]
+fn route_and_backend_see_the_same_path_and_what_could_mean_two_is_refused() {
+    let record = Record::default();
+    let servers = backends(2, &record, |_, _| ok(b"x"));
+    let rules = head(&servers)
+        + CLASSES
+        + &route("bid", "path = \"/api/bid\"\nmethod = \"POST\"", "bid")
+        + &route("rest", "prefix = \"/api\"", "page");
+    let node = Node::start_by_file(&rules);
+    for path in [
+        "/api/../admin",
+        "/api/%2e%2e/admin",
+        "/api/%2E./x",
+        "/api//bid",
+        "//api/bid",
+        "/api/.",
+        "/api%2fbid",
+        "/api/%5cbid",
+        "/api/%zz",
+        "/api/%00",
+        "*",
+    ] {
+        let (get, bid) = (
+            get(node.address, path, "Host: a.lv\r\n").status(),
+            ask(node.address, &post(path, "")).status(),
+        );
+        assert_eq!((get, bid), (400, 400), "{path}");
+    }
+    assert_eq!(record.count(), 0, "{:?}", lines(&record));
+    assert_eq!(ask(node.address, &post("/api/%62id?x=%2e%2e", "")).status(), 200);
+    assert_eq!(get(node.address, "/api/lots/%7e?a//b", "Host: a.lv\r\n").status(), 200);
+    assert_eq!(get(node.address, "http://a.lv/api/abs", "Host: b.lv\r\n").status(), 200);
+    assert_eq!(
+        lines(&record),
+        ["POST /api/bid?x=%2e%2e HTTP/1.1", "GET /api/lots/~?a//b HTTP/1.1", "GET /api/abs HTTP/1.1"]
+    );
+    assert_eq!(get(node.address, "/apix", "Host: a.lv\r\n").status(), 404);
+    assert_eq!(get(node.address, "/apix", "").status(), 404, "no host is one that no route asks for");
+}
+
+#[test]
+fn hosts_are_one_whatever_their_spelling_and_what_is_there_twice_means_nothing() {
+    let record = Record::default();
+    let servers = backends(1, &record, |_, m| ok(m.header("x-seen").unwrap_or("-").as_bytes()));
+    let rules = head(&servers)
+        + CLASSES
+        + &route("host", "host = \"a.lv\"", "page")
+        + &route("desk", "host = \"a.lv\"\nheader = { X-Desk = \"7\" }", "bid")
+        + &route("wild", "host = \"*.b.lv\"\ntenant = { header = \"X-House\" }", "page");
+    let node = Node::start_by_file(&rules);
+    for host in ["a.lv", "A.LV", "a.lv.", "a.lv:80", "A.lv.:8080", "x.b.lv", "x.Y.B.lv."] {
+        assert_eq!(get(node.address, "/", &format!("Host: {host}\r\n")).status(), 200, "{host}");
+    }
+    for host in ["b.lv", "xb.lv", "a.lv.x", "127.0.0.1"] {
+        assert_eq!(get(node.address, "/", &format!("Host: {host}\r\n")).status(), 404, "{host}");
+    }
+    for headers in [
+        "Host: a b\r\n",
+        "Host: a.lv:x\r\n",
+        "Host: a.lv\r\nHost: a.lv\r\n",
+        "Host: a.lv\r\nX-Desk: 1\r\nX-Desk: 7\r\n",
+        "Host: x.b.lv\r\nX-House: n\r\nX-House: s\r\n",
+    ] {
+        assert_eq!(get(node.address, "/", headers).status(), 400, "{headers:?}");
+    }
+    assert_eq!(record.count(), 7);
+}
+
+#[test]
+fn answers_of_any_status_and_their_headers_go_on_and_errors_of_servers_do_not() {
+    let record = Record::default();
+    let servers = backends(1, &record, |_, m| {
+        let of = |status: &str, headers: &str| Act::Say(reply(status, headers, b"body"));
+        match m.first_line.split(' ').nth(1) {
+            Some("/moved") => of("302 Found", "Location: /x\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"),
+            Some("/none") => of("404 Not Found", "X-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"),
+            _ => of("500 Internal Server Error", ""),
+        }
+    });
+    let node = Node::start_by_file(
+        &(head(&servers) + CLASSES + &route("all", "method = [\"GET\", \"POST\"]", "page")),
+    );
+    let moved = get(node.address, "/moved", "");
+    assert_eq!(
+        (moved.status(), moved.header("location"), moved.body.as_slice()),
+        (302, Some("/x"), &b"body"[..])
+    );
+    let none = get(node.address, "/none", "Connection: X-Mine, close\r\nX-Mine: 1\r\nX-Other: 1\r\n");
+    assert_eq!((none.status(), none.header("x-own"), none.header("x-hop")), (404, Some("1"), None));
+    let seen = record.seen.lock().unwrap().last().cloned().unwrap();
+    assert_eq!(
+        (seen.header("x-mine"), seen.header("x-other")),
+        (None, Some("1")),
+        "hop by hop, as its header says"
+    );
+    assert_eq!(
+        get(node.address, "/", "").status(),
+        503,
+        "safe, tried again, and never with an answer: refused"
+    );
+    let other = ask(node.address, b"PUT / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(other.status(), 404, "no route takes it");
+}
+
+#[test]
+fn a_keyed_request_needs_its_key_and_goes_again_with_it() {
+    let record = Record::default();
+    let servers =
+        backends(2, &record, |n, _| if n == 0 { Act::SayAndClose(Vec::new()) } else { ok(b"paid") });
+    let node = Node::start_by_file(
+        &(head(&servers) + CLASSES + &route("pay", "path = \"/pay\"\nmethod = \"POST\"", "pay")),
+    );
+    assert_eq!(ask(node.address, &post("/pay", "")).status(), 400);
+    assert_eq!(
+        ask(node.address, &post("/pay", "Idempotency-Key: 1\r\nIdempotency-Key: 2\r\n")).status(),
+        400
+    );
+    assert_eq!(record.count(), 0);
+    assert_eq!(ask(node.address, &post("/pay", "Idempotency-Key: 1\r\n")).body, b"paid");
+    let keys: Vec<_> = record
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|m| m.header("idempotency-key").map(str::to_owned))
+        .collect();
+    assert_eq!(keys, [Some("1".to_owned()), Some("1".into())]);
+}
+
+#[test]
+fn limits_of_a_route_are_kept_body_patience_attempt_and_copies() {
+    let record = Record::default();
+    let servers = backends(2, &record, |n, m| match m.first_line.split(' ').nth(1) {
+        Some("/copied") if n == 0 => Act::Silent,
+        Some("/slow") => Act::Silent,
+        _ => ok(b"x"),
+    });
+    let rules = head(&servers)
+        + CLASSES
+        + &(route("small", "path = \"/small\"", "page") + "body_limit = \"2B\"\n")
+        + &(route("copied", "path = \"/copied\"", "page")
+            + "second_copy_after = \"30ms\"\nattempt_timeout = \"1300ms\"\n")
+        + &(route("slow", "path = \"/slow\"", "bid") + "patience_from = { header = \"X-Wait\" }\n");
+    let node = Node::start_by_file(&rules);
+    assert_eq!(
+        get(node.address, "/copied", "").status(),
+        200,
+        "the copy's answer: the first server is silent"
+    );
+    assert_eq!(record.count(), 2);
+    wait_for("the loser's connection closes", || record.open_now() == 1);
+    assert_eq!(ask(node.address, &post("/small", "")).status(), 413);
+    for (wait, least, most) in [("X-Wait: 200\r\n", 190, 200), ("", 890, 900)] {
+        let begun = Instant::now();
+        assert_eq!(ask(node.address, &post("/slow", wait)).status(), 502);
+        let took = begun.elapsed();
+        // The machine may be slow: what is late here is late by its own waiting.
+        assert!(took >= Duration::from_millis(least), "{took:?}");
+        assert!(took <= Duration::from_millis(most + 150), "{took:?}");
+    }
+    assert_eq!(ask(node.address, &post("/slow", "X-Wait: soon\r\n")).status(), 400);
+    assert_eq!(ask(node.address, &post("/slow", "X-Wait: 1\r\nX-Wait: 2\r\n")).status(), 400);
+}
+
+/// Plays bids and pages side by side through every fault; each bid's executions are counted by the floor.
+#[test]
+fn no_bid_runs_twice_whatever_the_floor_does() {
+    const BIDS: usize = 2000;
+    let faults = Faults {
+        lost: 0.05,
+        unanswered: 0.05,
+        error: 0.05,
+        turned_away: 0.1,
+        late: 0.03,
+        late_by: Duration::from_millis(400),
+    };
+    let floor = Auction::start(4, 7, Duration::from_millis(1), faults).unwrap();
+    let rules = head(&floor.addresses)
+        + &CLASSES.replace("900ms", "300ms")
+        + &route("bid", "path = \"/bid\"\nmethod = \"POST\"", "bid")
+        + &(route("page", "method = \"GET\"", "page") + "second_copy_after = \"50ms\"\n");
+    let node = Node::start_by_file(&rules);
+    let (next, served, unsaid, late) =
+        (AtomicUsize::new(0), Mutex::new(Vec::new()), AtomicUsize::new(0), AtomicUsize::new(0));
+    thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(|| {
+                loop {
+                    let n = next.fetch_add(1, Ordering::SeqCst);
+                    if n >= BIDS {
+                        return;
+                    }
+                    let begun = Instant::now();
+                    match attempt(node.address, &post("/bid", &format!("X-Bid-Id: {n}\r\n"))) {
+                        Some(m) if m.status() == 200 => served.lock().unwrap().push((n, 1)),
+                        // A refusal promises that it never ran.
+                        Some(m) if m.status() == 503 => served.lock().unwrap().push((n, 0)),
+                        Some(_) => {}
+                        None => drop(unsaid.fetch_add(1, Ordering::SeqCst)),
+                    }
+                    late.fetch_add(
+                        usize::from(begun.elapsed() > Duration::from_millis(300 + 150)),
+                        Ordering::SeqCst,
+                    );
+                    if n.is_multiple_of(8) {
+                        get(node.address, &format!("/lots/{n}"), "");
+                    }
+                }
+            });
+        }
+    });
+    let (executed, twice) = floor.executed();
+    assert_eq!((twice, unsaid.into_inner(), late.into_inner()), (0, 0, 0), "of {executed} executed");
+    let served = served.into_inner().unwrap();
+    for (n, times) in &served {
+        assert_eq!(floor.executions(&n.to_string()), *times, "bid {n}");
+    }
+    let (turned_away, failed) = floor.trouble();
+    assert!(executed > BIDS / 2 && turned_away > 50 && failed > 50, "{executed} {turned_away} {failed}");
+}
+
+#[test]
+fn a_file_beside_the_platform_adds_routes_and_leaves_its_own_requests_alone() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(2, &record, |_, _| ok(b"x"))));
+    let file = std::env::temp_dir().join(format!("applemill-beside-{}.toml", std::process::id()));
+    let text = "[class.bid]\npatience = \"500ms\"\n[[route]]\nname = \"lots\"\nprefix = \"/lots\"\nclass = \"page\"\n\
+                pool = \"platform\"\ndeadline = \"1s\"\n[[route]]\nname = \"bid\"\npath = \"/bid\"\nmethod = \"POST\"\nclass = \"bid\"\n\
+                pool = \"platform\"\n";
+    std::fs::write(&file, text).unwrap();
+    let command = format!("LB_OPERATOR={} exec \"$0\"", file.display());
+    let node = Node::launch(discovery.address, |_| {}, &command);
+    wait_for("/up is 200", || node.up() == 200);
+    assert_eq!(ask(node.address, &request("bid", 900)).status(), 200, "the platform's own");
+    assert_eq!(get(node.address, "/lots/7", "X-Trace-Id: 1\r\n").status(), 200);
+    assert_eq!(ask(node.address, &post("/bid", "X-Trace-Id: 2\r\n")).status(), 200);
+    assert_eq!(get(node.address, "/other", "").status(), 404);
+    for hidden in ["/%61pi", "/x/../api", "/lots/%2e%2e/api"] {
+        assert_eq!(get(node.address, hidden, "X-Trace-Id: 3\r\n").status(), 400, "{hidden}");
+    }
+    assert_eq!(record.count(), 3);
+    // What is laxer than the platform is refused.
+    let lax = [
+        ("platform-deadline", text.replace("500ms", "901ms")),
+        ("platform-deadline", text.replace("\"1s\"", "\"5s\"")),
+        ("platform-class", text.replace("[class.bid]\n", "[class.bid]\neffect = \"safe\"\n")),
+        ("platform-limit", text.replace("deadline = \"1s\"", "attempts = 5")),
+        ("platform-owns", text.replace("\"/lots\"", "\"/api/lots\"")),
+        ("platform-owns", format!("[fleet]\nnodes = 9\n{text}")),
+        ("resend-unsafe", text.replace("patience", "retry = \"may-have-run\"\npatience")),
+    ];
+    for (rule, lax) in lax {
+        std::fs::write(&file, lax).unwrap();
+        let mut node = Node::launch(discovery.address, |_| {}, &command);
+        assert_eq!(node.ended().code(), Some(2), "{rule}");
+        let log = node.log();
+        assert!(log.contains(&format!("error[{rule}]")), "{rule}: {log}");
+    }
+    std::fs::remove_file(file).unwrap();
+}
+
+fn bad_files() -> Vec<PathBuf> {
+    let folder = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../routes/tests/bad"));
+    let files = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path());
+    files.filter(|f| f.extension().is_some_and(|e| e == "toml")).collect()
+}
+
+#[test]
+fn every_bad_file_is_refused_with_exit_code_2_and_its_report() {
+    let files = bad_files();
+    assert!(files.len() >= 60);
+    for file in files {
+        let run = |args: &[&str]| {
+            let mut command = Command::new(program());
+            command.args(args).arg(&file).env_remove("LB_CONFIG").env_remove("LB_OPERATOR");
+            command.output().unwrap()
+        };
+        let report = std::fs::read_to_string(file.with_extension("report")).unwrap();
+        let name = file.file_name().unwrap().to_str().unwrap();
+        let report = report.replace(name, &file.display().to_string());
+        let (started, checked, as_json) =
+            (run(&["run", "--config"]), run(&["check"]), run(&["check", "--json"]));
+        let codes = [&started, &checked, &as_json].map(|o| o.status.code());
+        assert_eq!(codes, [Some(2); 3], "{name}");
+        assert!(String::from_utf8_lossy(&started.stderr).contains(&report), "{name}");
+        assert!(String::from_utf8_lossy(&checked.stdout).starts_with(&report), "{name}");
+        let json: serde_json::Value = serde_json::from_slice(&as_json.stdout).unwrap();
+        assert_eq!(json["accepted"], json!(false), "{name}");
+        let places: HashSet<_> = (json["findings"].as_array().unwrap().iter())
+            .map(|f| {
+                format!(
+                    ":{}:{}: {}[{}]: ",
+                    f["line"],
+                    f["column"],
+                    f["severity"].as_str().unwrap(),
+                    f["rule"].as_str().unwrap()
+                )
+            })
+            .collect();
+        assert!(!places.is_empty() && places.iter().all(|p| report.contains(p)), "{name}: {places:?}");
+    }
+}
--- a/crates/routes/src/explain.rs
+++ b/crates/routes/src/explain.rs
@@ -166,13 +166,14 @@
     let class = e.class.as_ref().and_then(|c| rules.file.classes.get(c.value));
     let patience = class.and_then(|c| c.patience_ms.as_ref()).map_or(e.deadline_ms.value, |p| p.value);
     let column = |ms: f64| ((ms / patience.max(1.0)).clamp(0.0, 1.0) * WIDTH as f64).round() as usize;
-    let mut bar = |name: &str, from: f64, to: f64, mark: char, note: &str| {
+    let bar = |out: &mut String, name: &str, from: f64, to: f64, mark: char, note: &str| {
         let (begin, end) = (column(from), column(to).max(column(from) + 1));
         let drawn = format!("{}{}", " ".repeat(begin), String::from(mark).repeat(end - begin));
         writeln!(out, "  {name:<12}|{drawn:<w$}| {} to {}{note}", time(from), time(to), w = WIDTH + 1)
     };
     let end = e.deadline_ms.value - MARGIN_MS;
-    bar("client waits", 0.0, patience, '-', "")?;
+    writeln!(out, "\nthe longest course:")?;
+    bar(out, "client waits", 0.0, patience, '-', "")?;
     let mut at = 0.0;
     let worst = e.worst(rules.file.node.connect_timeout_ms);
     for (number, term) in (1_u32..).zip(worst.iter().take(worst.len().saturating_sub(1))) {
@@ -186,15 +187,15 @@
         } else {
             "attempts".into()
         };
-        bar(&name, at, at + term.ms, '#', note)?;
+        bar(out, &name, at, at + term.ms, '#', note)?;
         if number == 1
             && let Some(delay) = e.second_copy_ms.value
         {
-            bar("second copy", delay, delay + term.ms, '+', ", if the first has no answer by then")?;
+            bar(out, "second copy", delay, delay + term.ms, '+', ", if the first has no answer by then")?;
         }
         at += term.ms;
     }
-    bar("answer by", end.max(0.0), e.deadline_ms.value, '!', ", refused or failed if not served")?;
+    bar(out, "answer by", end.max(0.0), e.deadline_ms.value, '!', ", refused or failed if not served")?;
     Ok(())
 }
 
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -3,10 +3,11 @@
 use crate::client::attempt;
 use crate::{free_address, wait_for};
 use serde_json::{Value, json};
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::Receiver;
 
 /// Settings of a small deployment: pages are safe, bids unsafe, payments keyed.
 pub fn settings() -> Value {
@@ -37,6 +38,10 @@
     beside.into_iter().find(|p| p.is_file()).unwrap_or_else(|| "applemill".into())
 }
 
+fn with_listen(text: &str, address: SocketAddr) -> String {
+    text.replace("LISTEN", &address.to_string())
+}
+
 /// A running node; it is killed when dropped.
 pub struct Node {
     /// Where clients connect.
@@ -76,6 +81,60 @@
         Node { address, child, file, config }
     }
 
+    /// Starts one on an operator's file alone, in which `LISTEN` stands for its address.
+    pub fn start_by_file(text: &str) -> Node {
+        let node = Node::launch_by_file(text);
+        wait_for("/up is 200", || node.up() == 200);
+        node
+    }
+
+    /// The same without waiting.
+    pub fn launch_by_file(text: &str) -> Node {
+        let address = free_address();
+        let name = format!("applemill-test-{}-{}.toml", std::process::id(), address.ip());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, with_listen(text, address)).unwrap();
+        let child = Command::new(program())
+            .args(["run", "--config"])
+            .arg(&file)
+            .env_remove("LB_CONFIG")
+            .env_remove("LB_OPERATOR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Node { address, child, file, config: Value::Null }
+    }
+
+    /// Where its file is.
+    pub fn file(&self) -> &Path {
+        &self.file
+    }
+
+    /// Replaces the operator's file and has it read.
+    pub fn reload_file(&self, text: &str) {
+        self.reload_text(&with_listen(text, self.address));
+    }
+
+    /// Has whatever is at its file's place read.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    /// Lines of its log, as they come.
+    pub fn log_lines(&mut self) -> Receiver<String> {
+        let (sender, lines) = std::sync::mpsc::channel();
+        if let Some(log) = self.child.stderr.take() {
+            std::thread::spawn(move || {
+                for line in BufReader::new(log).lines().map_while(Result::ok) {
+                    if sender.send(line).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        lines
+    }
+
     /// Replaces the configuration and has it read.
     pub fn reload(&mut self, discovery: SocketAddr) {
         self.config["discovery"] = discovery.to_string().into();
@@ -150,6 +209,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
+        // A test may have put a folder in its place.
+        let _ = std::fs::remove_file(&self.file).or_else(|_| std::fs::remove_dir(&self.file));
     }
 }
