--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,47 @@
+//! Measurements of a node, each against something measured in the same run. Progress goes to standard error, one JSON
+//! object to standard output; the exit code is 1 where a promise is broken. The node is this program itself, started
+//! again as one, so that one build has all.
+
+mod node;
+mod routes;
+
+use clap::{Parser, ValueEnum};
+use std::process::ExitCode;
+
+/// Measures one thing and says whether what is promised of it is kept.
+#[derive(Debug, Parser)]
+#[command(name = "applemill-measure", version)]
+struct Cli {
+    /// What to measure.
+    name: Name,
+    /// How large: 1 takes seconds; 10 is the full size.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100))]
+    scale: u32,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Name {
+    /// Routes: time of a lookup, cost of a request, bids through faults.
+    Routes,
+}
+
+fn main() -> ExitCode {
+    // A node of a measurement: what follows is the node's own command line.
+    if std::env::var_os(node::AS_NODE).is_some() {
+        return applemill::main();
+    }
+    let cli = Cli::parse();
+    let measured = match cli.name {
+        Name::Routes => routes::measure(cli.scale),
+    };
+    match measured {
+        Ok(report) => {
+            println!("{report}");
+            if report["kept"] == true { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(e) => {
+            eprintln!("applemill-measure: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/routes.rs
@@ -0,0 +1,224 @@
+//! `routes`: what routes cost, and what they keep.
+
+use crate::node::Node;
+use applemill_routes::{Asked, Found, Header, Rules, load};
+use applemill_stand_ins::{Auction, Client, Faults, attempt};
+use serde_json::{Value, json};
+use std::error::Error;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Lookups in one timed stretch.
+const LOOKUPS: usize = 20_000;
+const SIZES: [usize; 4] = [10, 100, 1_000, 10_000];
+/// What lookups of 10,000 routes may cost beside those of 10.
+const MOST_GROWTH: f64 = 4.0;
+/// What a request may cost with 1,000 routes beside none.
+const MOST_CPU: f64 = 1.03;
+const BIDS_AT_FULL_SIZE: usize = 10_000;
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// The file that a node with so many routes runs on. The last one takes every path.
+fn file(servers: &[SocketAddr], routes: usize) -> String {
+    let servers: Vec<String> = servers.iter().map(|a| format!("{{ address = \"{a}\" }}")).collect();
+    let mut text = format!(
+        "[[listener]]\naddress = \"LISTEN\"\n[pool.floor]\nservers = [{}]\n[class.page]\neffect = \"safe\"\n\
+         patience = \"4s\"\nretry = \"may-have-run\"\n[class.bid]\neffect = \"unsafe\"\npatience = \"{}ms\"\n",
+        servers.join(", "),
+        PATIENCE.as_millis()
+    );
+    let mut route = |name: String, matching: String, class: &str| {
+        text.push_str(&format!(
+            "[[route]]\nname = \"{name}\"\n{matching}class = \"{class}\"\npool = \"floor\"\n"
+        ));
+    };
+    for n in 1..routes {
+        let matching = match n % 5 {
+            0 => format!("host = \"h{n}.auction.lv\"\npath = \"/lots/{n}\"\n"),
+            1 => format!("host = \"*.d{n}.lv\"\nprefix = \"/lots\"\n"),
+            2 => format!("path = \"/api/v1/houses/{n}/lots\"\nmethod = \"GET\"\n"),
+            3 => format!("prefix = \"/api/v1/houses/{n}\"\nheader = {{ X-Desk = \"{n}\" }}\n"),
+            _ => format!("prefix = \"/static/{n}\"\n"),
+        };
+        route(format!("r{n}"), matching, "page");
+    }
+    route("bid".into(), "path = \"/bid\"\nmethod = \"POST\"\n".into(), "bid");
+    route("rest".into(), "method = \"GET\"\n".into(), "page");
+    text
+}
+
+/// Requests that are looked up in turn: so many that they do not all stay in the nearest cache.
+const ASKED: usize = 5_000;
+
+/// Nanoseconds of a lookup, the least of several stretches, over requests of all kinds; none where one was not found.
+fn lookup_ns(rules: &Rules, routes: usize, stretches: usize) -> Option<f64> {
+    let asks: Vec<(Option<String>, String, String)> = (0..ASKED)
+        .map(|i| {
+            let n = 1 + (i * 7919) % (routes - 1);
+            match n % 5 {
+                0 => (Some(format!("h{n}.auction.lv")), format!("/lots/{n}"), String::new()),
+                1 => (Some(format!("x.d{n}.lv")), "/lots/7".into(), String::new()),
+                2 => (Some("a.lv".into()), format!("/api/v1/houses/{n}/lots"), String::new()),
+                3 => (Some("a.lv".into()), format!("/api/v1/houses/{n}/x"), n.to_string()),
+                _ => (None, format!("/static/{n}/a/b.css"), String::new()),
+            }
+        })
+        .collect();
+    let mut best = f64::INFINITY;
+    for _ in 0..stretches {
+        let begun = Instant::now();
+        for (host, path, desk) in asks.iter().cycle().take(LOOKUPS) {
+            let header = |name: &str| {
+                if name == "x-desk" && !desk.is_empty() { Header::Once(desk) } else { Header::Absent }
+            };
+            let asked = Asked { host: host.as_deref(), path, method: "GET", header: &header };
+            let Found::Route(route) = black_box(rules.find(black_box(&asked))) else { return None };
+            // The last two take what no other does.
+            if route >= routes - 1 {
+                return None;
+            }
+        }
+        best = best.min(begun.elapsed().as_secs_f64() * 1e9 / LOOKUPS as f64);
+    }
+    Some(best)
+}
+
+/// CPU of the node for a request of a stretch of them, one connection after another.
+fn cpu_of_requests(node: &Node, path: &str, count: usize) -> Result<f64, Box<dyn Error>> {
+    let text = format!("GET {path} HTTP/1.1\r\nHost: a.lv\r\n\r\n");
+    let mut client = Client::try_connect(node.address).ok_or("no connection")?;
+    let before = node.cpu()?;
+    for _ in 0..count {
+        client.send(text.as_bytes());
+        if client.answer().map_or(0, |m| m.status()) != 200 {
+            return Err("a request was not served".into());
+        }
+    }
+    Ok((node.cpu()? - before).as_secs_f64() * 1e6 / count as f64)
+}
+
+/// The middle one.
+fn median(mut all: Vec<f64>) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+struct Bids {
+    played: usize,
+    executed_twice: usize,
+    answers_late: usize,
+    unanswered: usize,
+    refused_and_executed: usize,
+}
+
+/// Bids through every fault; the floor counts what it executed.
+fn bids(count: usize) -> Result<Bids, Box<dyn Error>> {
+    let faults = Faults {
+        lost: 0.05,
+        unanswered: 0.05,
+        error: 0.05,
+        turned_away: 0.1,
+        late: 0.03,
+        late_by: Duration::from_millis(400),
+    };
+    let floor = Auction::start(4, 11, Duration::from_millis(1), faults)?;
+    let node = Node::start(&file(&floor.addresses, 100))?;
+    let (next, refused) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    let (late, unanswered) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(|| {
+                loop {
+                    let n = next.fetch_add(1, Ordering::SeqCst);
+                    if n >= count {
+                        return;
+                    }
+                    if n.is_multiple_of(1000) {
+                        eprintln!("bids: {n} of {count}");
+                    }
+                    let bid =
+                        format!("POST /bid HTTP/1.1\r\nX-Bid-Id: {n}\r\nContent-Length: 3\r\n\r\n100");
+                    let begun = Instant::now();
+                    let status = attempt(node.address, bid.as_bytes()).map(|m| m.status());
+                    late.fetch_add(usize::from(begun.elapsed() > PATIENCE), Ordering::SeqCst);
+                    match status {
+                        None => drop(unanswered.fetch_add(1, Ordering::SeqCst)),
+                        Some(503) => drop(refused.lock().map(|mut r| r.push(n))),
+                        Some(_) => {}
+                    }
+                }
+            });
+        }
+    });
+    let refused = refused.into_inner().unwrap_or_default();
+    Ok(Bids {
+        played: count,
+        executed_twice: floor.executed().1,
+        answers_late: late.into_inner(),
+        unanswered: unanswered.into_inner(),
+        refused_and_executed: refused.iter().filter(|n| floor.executions(&n.to_string()) > 0).count(),
+    })
+}
+
+/// Measures it all; `scale` 10 is the full size.
+///
+/// # Errors
+/// Something could not be measured.
+pub fn measure(scale: u32) -> Result<Value, Box<dyn Error>> {
+    let none = ["127.0.0.1:9000".parse()?];
+    let mut ns = serde_json::Map::new();
+    let mut by_size = Vec::new();
+    for routes in SIZES {
+        let text = file(&none, routes).replace("LISTEN", "127.0.0.1:8080");
+        let (report, rules) = load(&text, None);
+        let rules = rules.ok_or_else(|| report.text("generated"))?;
+        let time =
+            lookup_ns(&rules, routes, 5 * scale.min(10) as usize).ok_or("a lookup found another route")?;
+        eprintln!("lookup in {routes} routes: {time:.0} ns");
+        ns.insert(routes.to_string(), json!(time));
+        by_size.push(time);
+    }
+    let growth = by_size.last().zip(by_size.first()).map_or(f64::NAN, |(most, least)| most / least);
+
+    let floor = Auction::start(2, 1, Duration::ZERO, Faults::default())?;
+    let (plain, routed) =
+        (Node::start(&file(&floor.addresses, 1))?, Node::start(&file(&floor.addresses, 1000))?);
+    let (rounds, requests) = (9 + scale.min(10) as usize * 4, 500 * scale.min(10) as usize);
+    let mut ratios = Vec::new();
+    let (mut without, mut with) = (Vec::new(), Vec::new());
+    for round in 0..rounds {
+        // In turn, so that what else the machine does falls on both; the first round warms up.
+        let (a, b) = if round % 2 == 0 {
+            let a = cpu_of_requests(&plain, "/api/v1/houses/502/lots", requests)?;
+            (a, cpu_of_requests(&routed, "/api/v1/houses/502/lots", requests)?)
+        } else {
+            let b = cpu_of_requests(&routed, "/api/v1/houses/502/lots", requests)?;
+            (cpu_of_requests(&plain, "/api/v1/houses/502/lots", requests)?, b)
+        };
+        if round > 0 {
+            ratios.push(b / a);
+            without.push(a);
+            with.push(b);
+        }
+        eprintln!("cpu of a request, round {}: {a:.1} us without, {b:.1} us with 1,000 routes", round + 1);
+    }
+    let (ratio, memory) = (median(ratios), (plain.memory_kb()?, routed.memory_kb()?));
+    drop((plain, routed));
+
+    let bids = bids(BIDS_AT_FULL_SIZE * scale.min(10) as usize / 10)?;
+    let kept = growth < MOST_GROWTH
+        && ratio < MOST_CPU
+        && (bids.executed_twice, bids.answers_late, bids.unanswered, bids.refused_and_executed)
+            == (0, 0, 0, 0);
+    Ok(json!({
+        "ns_per_lookup": ns, "lookup_growth": growth,
+        "cpu_ratio_with_routes": ratio, "cpu_us_without": median(without), "cpu_us_with": median(with),
+        "memory_kb_without": memory.0, "memory_kb_with": memory.1,
+        "bids": bids.played, "bids_executed_twice": bids.executed_twice, "answers_late": bids.answers_late,
+        "bids_unanswered": bids.unanswered, "bids_refused_and_executed": bids.refused_and_executed, "kept": kept,
+    }))
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -5,8 +5,8 @@
 use crate::setup::{PoolSetup, Source};
 use crate::upstream::Dialect;
 use applemill_routes::{
-    DroppedBy, Effect as RouteEffect, File, LONGEST_FILE, Lease, MOST_PLANS, Plan, Platform, PlatformClass,
-    Pool, Report, Retry, Rules, Slots, load_bytes,
+    Chosen, DroppedBy, Effect as RouteEffect, File, LONGEST_FILE, Lease, MOST_PLANS, Plan, Platform,
+    PlatformClass, Pool, Report, Retry, Rules, Slots, load_bytes,
 };
 use birchspoke::interface::{
     BackendId, Class, Effect, Entry, Group, Health, ListKind, RouteValues, Settings,
@@ -382,9 +382,8 @@
 }
 
 impl Version {
-    /// Where a route's requests go; none where the file has no such route.
-    pub fn way(&self, route: usize, pools: &[RunningPool]) -> Option<Way> {
-        let chosen = self.rules.routes.get(route)?;
+    /// Where a route's requests go; none where this is no version's that these pools serve.
+    pub fn way(&self, chosen: &Chosen, pools: &[RunningPool]) -> Option<Way> {
         let pool = match chosen.pool {
             None => 0,
             Some(pool) => *self.pools.get(pool)?,
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -298,9 +298,12 @@
             Found::Nothing => return Err(Turned::Wrong(StatusCode::NOT_FOUND, "no route takes this\n")),
             Found::Unclear(_) => return Err(wrong("a header that the route goes by is there twice\n")),
         };
-        let chosen = version.rules.routes.get(route);
-        let way = version.way(route, &self.pools);
-        let (Some(chosen), Some(way)) = (chosen, way) else { return Err(Turned::Full) };
+        let Some(chosen) = version.rules.routes.get(route) else { return Err(Turned::Full) };
+        let chosen = match figure(&chosen.effective.class_from, &path, &head.headers)? {
+            None => chosen,
+            Some(name) => chosen.by_class.get(name).ok_or(wrong("the request names no class\n"))?,
+        };
+        let Some(way) = version.way(chosen, &self.pools) else { return Err(Turned::Full) };
         let Some(pool) = self.pools.get(way.pool) else { return Err(Turned::Full) };
         let figures = Figures::read(&chosen.effective, &path, &head.headers)?;
         let class = chosen.effective.class.as_ref().and_then(|c| version.rules.file.classes.get(c.value));
@@ -387,29 +390,38 @@
         path: &'h str,
         headers: &'h HeaderMap,
     ) -> Result<Figures<'h>, Turned> {
-        let figure =
-            |source: &'h Option<routes::Held<routes::Source>>| match source.as_ref().map(|s| &s.value) {
-                None => Ok(None),
-                Some(routes::Source::Value(text)) => Ok(Some(text.as_str())),
-                // The first piece is what stands before the first slash: nothing.
-                Some(routes::Source::Segment(n)) => Ok(path.split('/').nth(*n).filter(|s| !s.is_empty())),
-                Some(routes::Source::Header(name)) => match once(headers, name) {
-                    Header::Absent => Ok(None),
-                    Header::Once(text) => Ok(Some(text).filter(|t| !t.is_empty())),
-                    Header::Unclear => Err(wrong("a header that the route reads is there twice\n")),
-                },
-            };
-        let patience = match figure(&route.patience_from)? {
+        let patience = match figure(&route.patience_from, path, headers)? {
             None => None,
             Some(text) => match text.trim().parse() {
                 Ok(ms) => Some(Duration::from_millis(ms)),
                 Err(_) => return Err(wrong("the client's patience is no number of milliseconds\n")),
             },
         };
-        Ok(Figures { tenant: figure(&route.tenant)?, key: figure(&route.key)?, patience })
+        let (tenant, key) = (figure(&route.tenant, path, headers)?, figure(&route.key, path, headers)?);
+        Ok(Figures { tenant, key, patience })
     }
 }
 
+/// What stands where a route says; none where nothing does.
+fn figure<'h>(
+    source: &'h Option<routes::Held<routes::Source>>,
+    path: &'h str,
+    headers: &'h HeaderMap,
+) -> Result<Option<&'h str>, Turned> {
+    let found = match source.as_ref().map(|s| &s.value) {
+        None => None,
+        Some(routes::Source::Value(text)) => Some(text.as_str()),
+        // The first piece is what stands before the first slash: nothing.
+        Some(routes::Source::Segment(n)) => path.split('/').nth(*n),
+        Some(routes::Source::Header(name)) => match once(headers, name) {
+            Header::Absent => None,
+            Header::Once(text) => Some(text),
+            Header::Unclear => return Err(wrong("a header that the route reads is there twice\n")),
+        },
+    };
+    Ok(found.filter(|text| !text.is_empty()))
+}
+
 /// Why a body was not read.
 enum Unread {
     NoRoom,
--- a/crates/node/tests/node_routes.rs
+++ b/crates/node/tests/node_routes.rs
@@ -168,6 +168,40 @@
     assert_eq!(keys, [Some("1".to_owned()), Some("1".into())]);
 }
 
+#[test]
+fn a_request_may_name_its_class_and_is_held_to_it() {
+    let record = Record::default();
+    let servers = backends(2, &record, |_, _| Act::SayAndClose(Vec::new()));
+    let any = route(
+        "any",
+        "prefix = \"/x\"\nmethod = [\"POST\", \"PUT\"]\nclass_from = { header = \"X-Class\" }",
+        "bid",
+    );
+    let rules = head(&servers)
+        + CLASSES
+        + &any
+        + &route("seg", "prefix = \"/c\"\nclass_from = { segment = 2 }", "bid");
+    let node = Node::start_by_file(&rules);
+    let sent = |path: &str, headers: &str| {
+        let before = record.count();
+        let status = ask(node.address, &post(path, headers)).status();
+        (status, record.count() - before)
+    };
+    assert_eq!(sent("/x", ""), (502, 1), "the fixed one, unsafe: lost with its connection");
+    assert_eq!(sent("/x", "X-Class: page\r\n").1, 2, "safe: sent again, to the other server");
+    assert_eq!(sent("/c/bid/7", ""), (502, 1));
+    assert_eq!(sent("/x", "X-Class: pay\r\n"), (400, 0), "keyed, without a key");
+    assert_eq!(sent("/x", "X-Class: none\r\n"), (400, 0));
+    assert_eq!(sent("/x", "X-Class: page\r\nX-Class: bid\r\n"), (400, 0));
+    // What would be wrong for a class that requests may name is refused, though the fixed one is fine.
+    let bad = rules
+        .replace("\"X-Class\" }", "\"X-Class\" }\nretry = \"may-have-run\"")
+        .replace("class = \"bid\"", "class = \"page\"");
+    let mut node = Node::launch_by_file(&bad);
+    assert_eq!(node.ended().code(), Some(2));
+    assert!(node.log().contains("error[resend-unsafe]: route \"any\": retry"));
+}
+
 #[test]
 fn limits_of_a_route_are_kept_body_patience_attempt_and_copies() {
     let record = Record::default();
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -16,7 +16,8 @@
 
 pub(crate) struct Check<'f> {
     pub(crate) file: &'f File,
-    pub(crate) effective: &'f [Effective],
+    /// By route, what holds for each class that its requests may have.
+    pub(crate) effective: &'f [Vec<Effective>],
     pub(crate) platform: Option<&'f Platform>,
     pub(crate) report: &'f mut Report,
 }
@@ -29,13 +30,15 @@
         self.pools();
         self.matches();
         self.like_matches();
-        for (route, e) in self.file.routes.iter().zip(self.effective) {
-            self.references(route, e);
-            self.resends(route, e);
-            self.times(route, e);
-            self.methods(route, e);
-            self.sources(route, e);
-            self.platform_route(route, e);
+        for (route, all) in self.file.routes.iter().zip(self.effective) {
+            for e in all {
+                self.references(route, e);
+                self.resends(route, e);
+                self.times(route, e);
+                self.methods(route, e);
+                self.sources(route, e);
+                self.platform_route(route, e);
+            }
         }
         self.unused();
         self.report.settle();
@@ -209,7 +212,7 @@
     fn unused(&mut self) {
         let file = self.file;
         let classes: HashSet<usize> =
-            self.effective.iter().filter_map(|e| e.class.as_ref().map(|c| c.value)).collect();
+            self.effective.iter().flatten().filter_map(|e| e.class.as_ref().map(|c| c.value)).collect();
         for (n, c) in file.classes.iter().enumerate() {
             if !classes.contains(&n) && c.name.at != Spot::default() {
                 self.warn(
@@ -221,8 +224,12 @@
                 );
             }
         }
-        let pools: HashSet<&str> =
-            self.effective.iter().filter_map(|e| e.pool.as_ref().map(|p| p.value.as_str())).collect();
+        let pools: HashSet<&str> = self
+            .effective
+            .iter()
+            .flatten()
+            .filter_map(|e| e.pool.as_ref().map(|p| p.value.as_str()))
+            .collect();
         for p in file.pools.iter().filter(|p| !pools.contains(p.name.value.as_str())) {
             self.warn(
                 "unused",
--- a/crates/routes/src/check/safety.rs
+++ b/crates/routes/src/check/safety.rs
@@ -227,8 +227,12 @@
     }
 
     pub(super) fn sources(&mut self, r: &Route, e: &Effective) {
-        for (name, source) in [("tenant", &e.tenant), ("key", &e.key), ("patience_from", &e.patience_from)]
-        {
+        for (name, source) in [
+            ("class_from", &e.class_from),
+            ("tenant", &e.tenant),
+            ("key", &e.key),
+            ("patience_from", &e.patience_from),
+        ] {
             let Some(source) = source else { continue };
             let field = format!("route {:?}: {name}", r.name.value);
             if let (Source::Segment(n), Some(path)) = (&source.value, &r.path) {
@@ -239,6 +243,16 @@
                     self.error("segment", source.at, field.clone(), found, format!("1 to {there}"));
                 }
             }
+            if matches!(source.value, Source::Value(_)) && name == "class_from" {
+                let found = format!("a fixed value ({})", source.origin());
+                self.error(
+                    "kind",
+                    source.at,
+                    field.clone(),
+                    found,
+                    "class = \"NAME\", or a header or a segment",
+                );
+            }
             if let Source::Value(text) = &source.value
                 && name == "patience_from"
                 && !text.parse::<u32>().is_ok_and(|ms| ms > 0)
--- a/crates/routes/src/effective.rs
+++ b/crates/routes/src/effective.rs
@@ -58,6 +58,8 @@
 pub struct Effective {
     /// Its class, by its place in the file's list.
     pub class: Option<Held<usize>>,
+    /// Where a request names its class.
+    pub class_from: Option<Held<Source>>,
     /// Its pool, by name.
     pub pool: Option<Held<String>>,
     /// Where the tenant is.
@@ -115,14 +117,28 @@
     }
 }
 
-/// What holds for a route.
-pub(crate) fn of(file: &File, route: &Route) -> Effective {
+/// What holds for a route: for its fixed class first and, where requests name their class, for each class of the file
+/// that they may name.
+pub(crate) fn all_of(file: &File, route: &Route) -> Vec<Effective> {
+    let fixed = of(file, route, None);
+    let mut all = Vec::new();
+    if let Some(from) = fixed.class_from.clone() {
+        let named = |value| Held { value, from: from.from.clone(), at: from.at };
+        all.extend((0..file.classes.len()).map(|class| of(file, route, Some(named(class)))));
+    }
+    all.insert(0, fixed);
+    all
+}
+
+fn of(file: &File, route: &Route, named: Option<Held<usize>>) -> Effective {
     let group = route.group.as_ref().and_then(|g| file.groups.iter().find(|h| h.name.value == g.value));
     let mut line = Line { file, route, group, class: None };
-    let class = line.named(|n| n.class.as_ref()).and_then(|name| {
+    let fixed = || {
+        let name = line.named(|n| n.class.as_ref())?;
         let place = file.classes.iter().position(|c| c.name.value == name.value)?;
         Some(Held { value: place, from: name.from, at: name.at })
-    });
+    };
+    let class = named.or_else(fixed);
     line.class = class.as_ref().and_then(|c| file.classes.get(c.value));
     let patience = line.class.and_then(|c| c.patience_ms.as_ref());
     let mut deadline = line.value(|v| v.deadline_ms.as_ref(), 0.0);
@@ -133,6 +149,7 @@
             Held { value: patience.value, from: Origin::Class(class.name.value.clone()), at: patience.at };
     }
     Effective {
+        class_from: line.named(|n| n.class_from.as_ref()),
         pool: line.named(|n| n.pool.as_ref()),
         tenant: line.named(|n| n.tenant.as_ref()),
         key: line.named(|n| n.key.as_ref()),
--- a/crates/routes/src/explain.rs
+++ b/crates/routes/src/explain.rs
@@ -151,7 +151,12 @@
     line("retry", e.retry.value.word().to_owned(), e.retry.origin())?;
     line("second_copy_after", limit(e.second_copy_ms.value), e.second_copy_ms.origin())?;
     line("body_limit", format!("{} bytes", e.body_limit.value), e.body_limit.origin())?;
-    for (name, from) in [("tenant", &e.tenant), ("key", &e.key), ("patience_from", &e.patience_from)] {
+    for (name, from) in [
+        ("class_from", &e.class_from),
+        ("tenant", &e.tenant),
+        ("key", &e.key),
+        ("patience_from", &e.patience_from),
+    ] {
         if let Some(from) = from {
             line(name, source(&from.value), from.origin())?;
         }
--- a/crates/routes/src/fields.rs
+++ b/crates/routes/src/fields.rs
@@ -89,6 +89,7 @@
 
 pub(crate) const GROUP: &[Field] = &[
     f("class", Kind::Text, "The class of its routes."),
+    f("class_from", Kind::Source, "Where a request names its class; the fixed one where it names none."),
     f("pool", Kind::Text, "The pool of its routes."),
     f("tenant", Kind::Source, "Where the tenant's name is."),
     f(
@@ -114,6 +115,7 @@
     f("method", Kind::Texts, "Methods, in capitals; all if absent."),
     f("header", Kind::Pairs, "Headers that must be there once with just this value."),
     f("class", Kind::Text, "The class of its requests."),
+    f("class_from", Kind::Source, "Where a request names its class; the fixed one where it names none."),
     f("pool", Kind::Text, "The pool that serves it."),
     f("tenant", Kind::Source, "Where the tenant's name is."),
     f(
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -26,6 +26,7 @@
 pub use slots::{Lease, Placed, Slots};
 
 use check::Check;
+use std::collections::HashMap;
 
 /// What the pool is called whose servers the platform tells of.
 pub const PLATFORM_POOL: &str = "platform";
@@ -84,6 +85,8 @@
     pub pool: Option<usize>,
     /// All that holds for it.
     pub effective: Effective,
+    /// The same for each class that a request may name, where the route says where; by the class's name.
+    pub by_class: HashMap<String, Chosen>,
 }
 
 /// An accepted file.
@@ -113,7 +116,7 @@
     if let Some(platform) = platform {
         adopt(&mut file, platform);
     }
-    let effective: Vec<Effective> = file.routes.iter().map(|r| effective::of(&file, r)).collect();
+    let effective: Vec<Vec<Effective>> = file.routes.iter().map(|r| effective::all_of(&file, r)).collect();
     Check { file: &file, effective: &effective, platform, report: &mut report }.all();
     if report.refused() {
         return (report, None);
@@ -172,34 +175,56 @@
     }
 }
 
+/// The plan of some values, by its place; none where there are more plans than are kept apart.
+fn plan(plans: &mut Vec<Plan>, e: &Effective) -> Option<usize> {
+    let plan = Plan {
+        class: e.class.as_ref()?.value,
+        attempts: e.most_attempts(),
+        attempt_timeout_ms: e.attempt_timeout_ms.value,
+        deadline_ms: e.deadline_ms.value,
+        retry: e.retry.value,
+        second_copy_ms: e.second_copy_ms.value,
+    };
+    let known = plans.iter().position(|p| *p == plan);
+    if known.is_none() && plans.len() < MOST_PLANS {
+        plans.push(plan);
+        return Some(plans.len() - 1);
+    }
+    known
+}
+
 /// Accepted routes with their plans; none where there are more plans than are kept apart.
-fn settle(file: File, effective: Vec<Effective>, report: &mut Report) -> Option<Rules> {
+fn settle(file: File, effective: Vec<Vec<Effective>>, report: &mut Report) -> Option<Rules> {
     let mut plans: Vec<Plan> = Vec::new();
     let mut routes = Vec::with_capacity(effective.len());
-    for e in effective {
-        let plan = Plan {
-            class: e.class.as_ref()?.value,
-            attempts: e.most_attempts(),
-            attempt_timeout_ms: e.attempt_timeout_ms.value,
-            deadline_ms: e.deadline_ms.value,
-            retry: e.retry.value,
-            second_copy_ms: e.second_copy_ms.value,
-        };
-        let known = plans.iter().position(|p| *p == plan);
-        let place = known.unwrap_or_else(|| {
-            plans.push(plan);
-            plans.len() - 1
-        });
-        if place >= MOST_PLANS {
-            let found = format!("routes with more than {MOST_PLANS} different sets of values");
-            let right = "values in classes and groups, shared by their routes";
-            let at = Spot { line: 1, column: 1 };
-            report.findings.push(Finding::error("plans", at, "route", found, right));
-            return None;
+    for all in effective {
+        let mut chosen = Vec::with_capacity(all.len());
+        for effective in all {
+            let Some(plan) = plan(&mut plans, &effective) else {
+                let found = format!("routes with more than {MOST_PLANS} different sets of values");
+                let right = "values in classes and groups, shared by their routes";
+                report.findings.push(Finding::error(
+                    "plans",
+                    Spot { line: 1, column: 1 },
+                    "route",
+                    found,
+                    right,
+                ));
+                return None;
+            };
+            let name = &effective.pool.as_ref()?.value;
+            let pool = file.pools.iter().position(|p| p.name.value == *name);
+            chosen.push(Chosen { plan, pool, effective, by_class: HashMap::new() });
         }
-        let name = &e.pool.as_ref()?.value;
-        let pool = file.pools.iter().position(|p| p.name.value == *name);
-        routes.push(Chosen { plan: place, pool, effective: e });
+        let mut chosen = chosen.into_iter();
+        let mut route = chosen.next()?;
+        route.by_class = chosen
+            .filter_map(|c| {
+                let class = file.classes.get(c.effective.class.as_ref()?.value)?;
+                Some((class.name.value.clone(), c))
+            })
+            .collect();
+        routes.push(route);
     }
     let table = Table::new(&file.routes);
     Some(Rules { file, plans, routes, table })
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -89,6 +89,8 @@
 pub struct Names {
     /// The class.
     pub class: Option<At<String>>,
+    /// Where a request names its class.
+    pub class_from: Option<At<Source>>,
     /// The pool.
     pub pool: Option<At<String>>,
     /// Where the tenant is.
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -174,6 +174,7 @@
     fn names(&mut self) -> Names {
         Names {
             class: self.text("class"),
+            class_from: self.source("class_from"),
             pool: self.text("pool"),
             tenant: self.source("tenant"),
             key: self.source("key"),
