--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -32,9 +32,11 @@
 const MOST_BUFFER: usize = 64 * 1024;
 /// How often idle connections to backends are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
-/// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
-/// before that is failed.
+/// On the platform SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer
+/// shortly before that is failed.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+/// Elsewhere a stop waits for so long at most: a third of what service managers allow by default.
+const LONGEST_STOP: Duration = Duration::from_secs(30);
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
 /// Characters of a report that are logged.
 const LOGGED: usize = 4000;
@@ -98,10 +100,14 @@
 type Moved = watch::Sender<SocketAddr>;
 
 /// Starts a pool.
-fn start_pool(pool: PoolSetup, parts: &Parts) -> Result<(RunningPool, Option<Moved>), Box<dyn Error>> {
+fn start_pool(
+    pool: PoolSetup,
+    number: u64,
+    parts: &Parts,
+) -> Result<(RunningPool, Option<Moved>), Box<dyn Error>> {
     let PoolSetup { name, settings, names, source, known, dialect, own_classes } = pool;
     let (reporting, mode) = (settings.reporting, settings.discovery);
-    let balancer = Balancer::new(settings, parts.seed)?;
+    let balancer = Balancer::new(settings, parts.seed.wrapping_add(number))?;
     let (wish, wishes) = mpsc::unbounded_channel();
     let driver =
         Driver::new(balancer, reporting, parts.upstream.clone(), parts.peers.clone(), wish, dialect);
@@ -161,8 +167,8 @@
     let parts =
         Parts { upstream: upstream.clone(), peers, descriptors: descriptors.clone(), seed: setup.seed };
     let (mut pools, mut moves) = (Vec::new(), Vec::new());
-    for pool in setup.pools {
-        let (pool, moved) = start_pool(pool, &parts)?;
+    for (pool, number) in setup.pools.into_iter().zip(0..) {
+        let (pool, moved) = start_pool(pool, number, &parts)?;
         pools.push(pool);
         moves.push(moved);
     }
@@ -190,7 +196,8 @@
             upstream.sweep();
         }
     });
-    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
+    let most = if setup.platform { LONGEST_DEADLINE } else { LONGEST_STOP };
+    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(most);
     let reader = Reader::new(pools.clone(), classes, operator, setup.memory / BODIES_PART);
     let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors);
     if !setup.warnings.is_empty() {
--- a/crates/node/tests/node_route_reload.rs
+++ b/crates/node/tests/node_route_reload.rs
@@ -88,6 +88,52 @@
     assert_eq!((get(address, "/a"), get(address, "/b"), get(address, "/bid")), (200, 404, 200));
 }
 
+#[test]
+fn a_class_that_an_open_bid_has_is_given_to_no_other() {
+    let record = Record::default();
+    let door = Door::default();
+    let held = door.clone();
+    // Two servers: a bid that were safe by mistake would be sent again to the other one.
+    let servers = backends(2, &record, move |_, m| {
+        if !m.first_line.starts_with("POST") {
+            return ok(b"x");
+        }
+        held.pass();
+        Act::SayAndClose(Vec::new())
+    });
+    let list = format!("{{ address = \"{}\" }}, {{ address = \"{}\" }}", servers[0], servers[1]);
+    let one = format!("{{ address = \"{}\" }}", servers[0]);
+    let file = |routes: &str| file(servers[0], routes).replace(&one, &list);
+    let mut node = Node::start_by_file(&file(&route("bid", "/bid", "bid")));
+    let lines = node.log_lines();
+    let address = node.address;
+    let bid =
+        thread::spawn(move || ask(address, b"POST /bid HTTP/1.1\r\nContent-Length: 0\r\n\r\n").status());
+    wait_for("the bid is out", || record.count() == 1);
+    let many = |numbers: std::ops::Range<usize>| -> String {
+        numbers
+            .map(|n| {
+                let values = format!("retry = \"may-have-run\"\ndeadline = \"{}ms\"\n", 1000 + n);
+                route(&format!("r{n}"), &format!("/r{n}"), "page") + &values
+            })
+            .collect()
+    };
+    // One place is the bid's, 32 are spare; the version in service keeps its own until it is replaced.
+    node.reload_file(&file(&many(0..20)));
+    said(&lines, "operator's file read again");
+    assert_eq!((get(address, "/r19"), get(address, "/bid")), (200, 404));
+    node.reload_file(&file(&many(20..33)));
+    assert!(said(&lines, "operator's file kept as it was").contains("13 new sets of values and 12 places"));
+    door.open();
+    assert_eq!(bid.join().unwrap(), 502);
+    let bids = record.seen.lock().unwrap().iter().filter(|m| m.first_line.starts_with("POST")).count();
+    assert_eq!(bids, 1);
+    // It is over: its place is free.
+    node.reload_file(&file(&many(20..33)));
+    said(&lines, "operator's file read again");
+    assert_eq!(get(address, "/r32"), 200);
+}
+
 #[test]
 fn whatever_is_in_the_files_place_changes_nothing_and_stops_nothing() {
     let record = Record::default();
--- a/crates/node/tests/node_routes.rs
+++ b/crates/node/tests/node_routes.rs
@@ -171,24 +171,25 @@
 #[test]
 fn a_request_may_name_its_class_and_is_held_to_it() {
     let record = Record::default();
-    let servers = backends(2, &record, |_, _| Act::SayAndClose(Vec::new()));
+    // So many that none is congested by what the others lose.
+    let servers = backends(12, &record, |_, _| Act::SayAndClose(Vec::new()));
     let any = route(
         "any",
         "prefix = \"/x\"\nmethod = [\"POST\", \"PUT\"]\nclass_from = { header = \"X-Class\" }",
         "bid",
     );
-    let rules = head(&servers)
-        + CLASSES
-        + &any
-        + &route("seg", "prefix = \"/c\"\nclass_from = { segment = 2 }", "bid");
+    let once = route("once", "path = \"/once\"", "page") + "retry = \"never-ran\"\n";
+    let seg = route("seg", "prefix = \"/c\"\nclass_from = { segment = 2 }", "bid");
+    let rules = head(&servers) + CLASSES + &any + &seg + &once;
     let node = Node::start_by_file(&rules);
     let sent = |path: &str, headers: &str| {
         let before = record.count();
         let status = ask(node.address, &post(path, headers)).status();
         (status, record.count() - before)
     };
+    assert_eq!(sent("/once", "").1, 1, "safe, and its route says that what may have run is not sent again");
     assert_eq!(sent("/x", ""), (502, 1), "the fixed one, unsafe: lost with its connection");
-    assert_eq!(sent("/x", "X-Class: page\r\n").1, 2, "safe: sent again, to the other server");
+    assert_eq!(sent("/x", "X-Class: page\r\n").1, 3, "safe: sent again, to other servers");
     assert_eq!(sent("/c/bid/7", ""), (502, 1));
     assert_eq!(sent("/x", "X-Class: pay\r\n"), (400, 0), "keyed, without a key");
     assert_eq!(sent("/x", "X-Class: none\r\n"), (400, 0));
@@ -330,6 +331,11 @@
         assert_eq!(get(node.address, hidden, "X-Trace-Id: 3\r\n").status(), 400, "{hidden}");
     }
     assert_eq!(record.count(), 3);
+    let check = |file: &PathBuf| {
+        let mut command = Command::new(program());
+        command.arg("check").arg(file).arg("--platform").arg(node.file()).output().unwrap()
+    };
+    assert!(check(&file).status.success());
     // What is laxer than the platform is refused.
     let lax = [
         ("platform-deadline", text.replace("500ms", "901ms")),
@@ -342,6 +348,9 @@
     ];
     for (rule, lax) in lax {
         std::fs::write(&file, lax).unwrap();
+        let checked = check(&file);
+        assert_eq!(checked.status.code(), Some(2), "{rule}");
+        assert!(String::from_utf8_lossy(&checked.stdout).contains(&format!("error[{rule}]")), "{rule}");
         let mut node = Node::launch(discovery.address, |_| {}, &command);
         assert_eq!(node.ended().code(), Some(2), "{rule}");
         let log = node.log();
