Look at the one kept connection that is to be taken, not at all of them

Each request asked the system about every kept connection of its backend, so its cost grew with them. The new test was seen red without the look.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -352,14 +352,28 @@
         });
     }
 
+    /// The youngest kept connection that is quiet and good. Only those that are to be taken are looked at: what a
+    /// request costs must not grow with what is kept. Whatever else has ended meanwhile is the sweep's.
     fn take_idle(&self, backend: BackendId) -> Option<Idle> {
-        let limit = self.idle_limit();
+        let (limit, now) = (self.idle_limit(), Instant::now());
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&backend)?;
-        // Looked at once more here: the sweep may be late, and the backend may have closed it since.
-        list.retain(|i| i.since.elapsed() < limit && i.conn.alive());
-        let settled = list.iter().rposition(|i| i.since.elapsed() >= SETTLED)?;
-        Some(list.remove(settled))
+        // They are kept in the order in which they turned idle: the oldest come first.
+        let mut settled = list.partition_point(|i| now.duration_since(i.since) >= SETTLED);
+        while settled > 0 {
+            settled -= 1;
+            if now.duration_since(list.get(settled)?.since) >= limit {
+                // And so are all before it.
+                list.drain(..=settled);
+                return None;
+            }
+            // Looked at once more here: the backend may have closed it since.
+            let kept = list.remove(settled);
+            if kept.conn.alive() {
+                return Some(kept);
+            }
+        }
+        None
     }
 
     /// Keeps a connection whose exchange is over, if it can carry another.
--- a/crates/node/tests/node_requests.rs
+++ b/crates/node/tests/node_requests.rs
@@ -225,3 +225,39 @@
     let new = record.opened.load(SeqCst) - before;
     assert!(new <= 30, "{new} connections for 40 requests");
 }
+
+#[test]
+fn kept_connections_that_the_backend_has_closed_lose_no_bid_however_many_they_are() {
+    let record = Record::default();
+    // Each connection is kept through its first answer, closed by the backend a moment after its second.
+    let asked = Mutex::new(0);
+    let addresses = backends(1, &record, move |_, _| {
+        let mut asked = asked.lock().unwrap();
+        *asked += 1;
+        // The first eight come side by side, each on a connection of its own.
+        if *asked <= 8 {
+            drop(asked);
+            thread::sleep(Duration::from_millis(60));
+            return ok(b"x");
+        }
+        Act::SayAndCloseLater(reply("200 OK", "", b"x"))
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let first: Vec<_> = (0..8)
+        .map(|_| {
+            let address = node.address;
+            thread::spawn(move || ask(address, &request("page", 4000)).status())
+        })
+        .collect();
+    let first: Vec<u16> = first.into_iter().map(|f| f.join().unwrap()).collect();
+    let opened = record.open_now();
+    assert!(first.iter().all(|s| *s == 200) && opened >= 2, "{first:?} on {opened} connections");
+    for n in 0..u64::from(opened) * 2 {
+        quiet_moment();
+        assert_eq!(ask(node.address, &request("bid", 900)).status(), 200, "bid {n}");
+        wait_for("its connection closes", || {
+            record.open_now() <= opened.saturating_sub(n as u32 + 1).max(1)
+        });
+    }
+}
