--- a/crates/routes/tests/bad_files.rs
+++ b/crates/routes/tests/bad_files.rs
@@ -1,7 +1,7 @@
 //! Every bad file of `tests/bad` has just the report beside it. `APPLEMILL_WRITE_REPORTS=1` writes them anew, to be
 //! read before they are committed.
 
-use applemill_routes::load_bytes;
+use applemill_routes::{DroppedBy, Effect, Platform, PlatformClass, load_bytes};
 use std::path::Path;
 
 #[test]
@@ -33,4 +33,15 @@
     let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/operator.toml");
     let (report, rules) = load_bytes(&std::fs::read(example).expect("the example"), None);
     assert_eq!((report.text("operator.toml").as_str(), rules.is_some()), ("", true));
+    let beside = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/beside-platform.toml");
+    let class = PlatformClass {
+        name: "page".into(),
+        effect: Effect::Safe,
+        patience_ms: 900.0,
+        dropped_by: DroppedBy::Pool,
+        dropped_for_ms: 0.0,
+    };
+    let platform = Platform { classes: vec![class], max_attempts: 3, second_copies: false };
+    let (report, rules) = load_bytes(&std::fs::read(beside).expect("the example"), Some(&platform));
+    assert_eq!((report.text("beside-platform.toml").as_str(), rules.is_some()), ("", true));
 }
