--- a/crates/node/tests/node_route_reload.rs
+++ b/crates/node/tests/node_route_reload.rs
@@ -198,6 +198,32 @@
     assert!(node.running());
 }
 
+#[test]
+fn each_bad_file_is_refused_on_reload_and_the_old_one_serves() {
+    let record = Record::default();
+    let server = backend(&record, |_, _| ok(b"x"));
+    let mut node = Node::start_by_file(&file(server, &route("page", "/a", "page")));
+    let lines = node.log_lines();
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../routes/tests/bad");
+    let mut refused = 0;
+    for bad in std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()) {
+        if bad.extension().is_none_or(|e| e != "toml") {
+            continue;
+        }
+        std::fs::copy(&bad, node.file()).unwrap();
+        node.hang_up();
+        let line = said(&lines, "operator's file kept as it was");
+        assert!(line.contains("is refused"), "{}: {line}", bad.display());
+        assert_eq!(get(node.address, "/a"), 200, "{}", bad.display());
+        refused += 1;
+        // The node logs twenty lines a second at most.
+        if refused % 15 == 0 {
+            thread::sleep(std::time::Duration::from_millis(1100));
+        }
+    }
+    assert!(refused >= 60 && node.running(), "{refused}");
+}
+
 #[test]
 fn servers_of_a_fixed_list_come_and_go_with_the_file() {
     let place = |name: &'static [u8]| backend(&Record::default(), move |_, _| ok(name));
