Count the clients that stay instead of walking over all of them for each answer

A typed place in the count, held from the first head until the client is over, gives itself back when dropped.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -44,12 +44,31 @@
 /// But so long at most: SIGKILL would find unanswered what is taken later.
 const ACCEPT_END: Duration = Duration::from_millis(1500);
 
+/// A client that has asked and may ask again, counted for as long as this is held.
+struct Stay(Rc<Cell<usize>>);
+
+impl Stay {
+    fn new(count: &Rc<Cell<usize>>) -> Stay {
+        count.set(count.get() + 1);
+        Stay(count.clone())
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// One client connection.
 struct Client {
     socket: Socket,
     busy: Cell<bool>,
     /// It has brought a whole head.
     asked: Cell<bool>,
+    /// From its first head until it is over.
+    stay: RefCell<Option<Stay>>,
+    staying: Rc<Cell<usize>>,
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
     read: Cell<u64>,
@@ -116,6 +135,7 @@
     fn new(client: Rc<Client>) -> Busy {
         client.busy.set(true);
         client.asked.set(true);
+        client.stay.borrow_mut().get_or_insert_with(|| Stay::new(&client.staying));
         client.stuck_since.set(None);
         Busy(client)
     }
@@ -151,6 +171,8 @@
     buffer: usize,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    /// How many of them stay.
+    staying: Rc<Cell<usize>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
     stop: Notify,
@@ -173,6 +195,7 @@
             buffer,
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
+            staying: Rc::default(),
             next: Cell::new(0),
             stopping: Cell::new(None),
             stop: Notify::new(),
@@ -268,6 +291,8 @@
             socket: socket.clone(),
             busy: Cell::new(false),
             asked: Cell::new(false),
+            stay: RefCell::default(),
+            staying: self.staying.clone(),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
             stuck_since: Cell::new(None),
@@ -323,6 +348,7 @@
             return;
         }
         client.over.set(true);
+        drop(client.stay.take());
         tokio::select! {
             _ = tokio::time::timeout(LINGER, client.socket.discard(LINGER_READ)) => {}
             () = client.close.notified() => {}
@@ -353,8 +379,7 @@
     /// More clients stay than there are places for to be kept idle: those that ask now are served and go, so
     /// that the next find a place.
     fn crowded(&self) -> bool {
-        let stay = self.clients.borrow().values().filter(|c| c.asked.get() && !c.over.get()).count();
-        stay > self.descriptors.limit() / KEPT_PART
+        self.staying.get() > self.descriptors.limit() / KEPT_PART
     }
 
     async fn ask(&self, Reading { pool, asked, call, deadline, expires, held }: Reading) -> Own {
--- a/crates/node/tests/node_clients.rs
+++ b/crates/node/tests/node_clients.rs
@@ -243,3 +243,25 @@
         assert!(log.contains(field), "{field} is not named: {log}");
     }
 }
+
+#[test]
+fn clients_that_have_gone_count_no_more_among_those_that_stay() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(1, &record, |_, _| ok(b"x"))));
+    let node = Node::start(discovery.address, |c| {
+        c["limits"] = serde_json::json!({"cores": 1.0, "memory_mb": 32, "sockets": 64});
+    });
+    // Many times more than may stay, one after another.
+    for n in 0..100 {
+        assert_eq!(ask(node.address, &request("page", 4000)).status(), 200, "{n}");
+    }
+    let mut client = Client::connect(node.address);
+    wait_for("an answer that lets its client stay", || {
+        let answer = client.ask(&request("page", 4000));
+        let stays = answer.header("connection") != Some("close");
+        if !stays {
+            client = Client::connect(node.address);
+        }
+        stays
+    });
+}
