Server: a client has asked when it holds its place among those that stay

The count of clients that stay came beside a flag that said the same. The place alone says it now. Tests of clients, of strangers and of the node's end pass as before.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -64,9 +64,7 @@
 struct Client {
     socket: Socket,
     busy: Cell<bool>,
-    /// It has brought a whole head.
-    asked: Cell<bool>,
-    /// From its first head until it is over.
+    /// From its first whole head until it is over; none before that.
     stay: RefCell<Option<Stay>>,
     staying: Rc<Cell<usize>>,
     idle_since: Cell<Instant>,
@@ -94,7 +92,7 @@
         match self.socket.read() == self.read.get() {
             _ if self.over.get() => Some(Turn::Over),
             _ if self.busy.get() => None,
-            _ if !self.asked.get() => Some(Turn::AskedNothing),
+            _ if self.stay.borrow().is_none() => Some(Turn::AskedNothing),
             true => Some(Turn::Idle),
             false => Some(Turn::Stuck),
         }
@@ -134,7 +132,6 @@
 impl Busy {
     fn new(client: Rc<Client>) -> Busy {
         client.busy.set(true);
-        client.asked.set(true);
         client.stay.borrow_mut().get_or_insert_with(|| Stay::new(&client.staying));
         client.stuck_since.set(None);
         Busy(client)
@@ -290,7 +287,6 @@
         let client = Rc::new(Client {
             socket: socket.clone(),
             busy: Cell::new(false),
-            asked: Cell::new(false),
             stay: RefCell::default(),
             staying: self.staying.clone(),
             idle_since: Cell::new(Instant::now()),
