Move the life of a request into the crate ledger, without I/O or clock

Requests, attempts and connections lived between sockets and timers in driver.rs, upstream.rs and request.rs, where no ordering can be explored.

The crate applemill-ledger holds them now: a connection is waiting, dialling, carrying or kept, and nothing but an exchange has bytes written; what is owed is held by value and moved out by its answer. It owns the decision module and its own timers; what happened goes in with its time, effects come out. The node keeps sockets, one sleep for all timers of a pool, and HTTP (call.rs); no attempt has a timer or a cancel channel of its own any more.

What changes to the outside: after a notice nothing of an attempt is sent that has not left the node yet. One that was connecting is given up at once (it waited for the handshake to end), and one whose backend has moved follows it to the new address; before, its request still went to the old one, past the grace if the handshake took so long. The test of a drain during a handshake asks for the answer before the handshake ends.

Failed try: ending attempts at a moved backend as not connected refused requests wherever it was the only one (node_reload, red).

--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -21,7 +21,7 @@
 
 /// The failure record: failures and tries in a window of buckets, and the congested state with its
 /// PRAT.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Record {
     buckets: [(u16, u16); BUCKETS],
     slot: u64,
@@ -66,7 +66,7 @@
 }
 
 /// The in-flight cap, learned from outcomes. Below 1 it is a duty: one at a time, with pauses between.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Cap {
     limit: f64,
     /// When cuts last took the whole limit; attempts sent before say nothing new. 0 until the first cut.
@@ -107,7 +107,7 @@
 }
 
 /// One backend as this node knows it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Backend {
     id: BackendId,
     zone: u16,
@@ -165,7 +165,7 @@
 }
 
 /// How often each key is asked for at this node, counted in two rows of a sketch that fades.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct KeyCounts {
     rows: [Vec<f32>; 2],
     total: f64,
@@ -258,7 +258,7 @@
 }
 
 /// Admission: how much of what is asked may go in, what is worth least going first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Admission {
     /// Part of the offered work that is let in.
     level: f64,
@@ -301,7 +301,7 @@
     spill: f64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Attempt {
     backend: BackendId,
     zone: u16,
@@ -313,7 +313,7 @@
     trial: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Open {
     request: Request,
     arrived: f64,
@@ -326,7 +326,7 @@
 /// The decisions of one node. Feed it events, carry out its actions.
 ///
 /// See the crate's page for an example.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Balancer {
     s: Settings,
     rng: fastrand::Rng,
--- /dev/null
+++ b/crates/ledger/src/conn.rs
@@ -0,0 +1,133 @@
+//! A connection to a backend, by what is on it. The states are types: nothing but an exchange has bytes written, and
+//! nothing but a kept connection can be taken for the next request.
+
+use crate::timers::Key;
+use birchspoke::interface::{BackendId, Outcome, RequestId};
+use std::net::SocketAddr;
+
+/// How much of a request has left this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Written {
+    /// Not one byte: it never ran.
+    Nothing,
+    /// Some of it. A backend may act on a part, so it may have run.
+    Part,
+    /// All of it.
+    Whole,
+}
+
+/// How much of an answer is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Heard {
+    /// Not one byte.
+    Nothing,
+    /// Its first bytes.
+    Begun,
+    /// Its head.
+    Headed,
+}
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Errand {
+    /// A request's attempt, by its number.
+    Attempt(RequestId, u32),
+    /// To see whether the backend is there.
+    Probe,
+}
+
+/// An errand on its way.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub errand: Errand,
+    pub backend: BackendId,
+    pub address: SocketAddr,
+    pub sent_ms: f64,
+    /// When it is waited for no longer.
+    pub until_ms: f64,
+}
+
+/// A request on a connection, and as much of its answer as is there.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    pub job: Job,
+    /// Set for when it is waited for no longer.
+    pub timer: Key,
+    /// For how long the connection had been kept; none for a new one.
+    pub idle_ms: Option<f64>,
+    pub written: Written,
+    pub heard: Heard,
+}
+
+impl Exchange {
+    /// What it is when it is waited for no longer.
+    pub fn timed_out(&self) -> Outcome {
+        match (self.job.errand, self.written, self.heard) {
+            // Asked whether it is there, a backend that is late is not.
+            (Errand::Probe, ..) => Outcome::TimedOut,
+            (_, Written::Nothing, _) => Outcome::NotConnected,
+            (.., Heard::Nothing) => Outcome::TimedOut,
+            // One that says anything at all is not silent.
+            _ => Outcome::Error,
+        }
+    }
+
+    /// What it is when something other than an answer came.
+    pub fn spoilt(&self) -> Outcome {
+        self.unless_unwritten(Outcome::Error)
+    }
+
+    /// What it is when its connection breaks.
+    pub fn broke(&self) -> Outcome {
+        self.unless_unwritten(Outcome::Reset)
+    }
+
+    fn unless_unwritten(&self, outcome: Outcome) -> Outcome {
+        match (self.job.errand, self.written) {
+            (Errand::Attempt(..), Written::Nothing) => Outcome::NotConnected,
+            _ => outcome,
+        }
+    }
+}
+
+/// A connection that is open, or about to be. A closed one has no state: nothing that is heard of it counts.
+#[derive(Clone, Debug)]
+pub enum Conn {
+    /// It waits for a descriptor, until the timer.
+    Waiting(Job, Key),
+    /// The handshake is under way, until the timer.
+    Dialling(Job, Key),
+    /// It carries a request.
+    Carrying(Exchange),
+    /// Its last answer was whole, and it is kept for another request.
+    Kept(BackendId),
+}
+
+impl Conn {
+    /// What it is on its way for.
+    pub fn job(&self) -> Option<&Job> {
+        match self {
+            Conn::Waiting(job, _) | Conn::Dialling(job, _) => Some(job),
+            Conn::Carrying(exchange) => Some(&exchange.job),
+            Conn::Kept(_) => None,
+        }
+    }
+
+    /// The same, taken out, with its timer.
+    pub fn into_job(self) -> Option<(Job, Key)> {
+        match self {
+            Conn::Waiting(job, timer) | Conn::Dialling(job, timer) => Some((job, timer)),
+            Conn::Carrying(Exchange { job, timer, .. }) => Some((job, timer)),
+            Conn::Kept(_) => None,
+        }
+    }
+
+    /// Nothing of its request has left: it can be called off as one that never ran.
+    pub fn unwritten(&self) -> bool {
+        match self {
+            Conn::Waiting(..) | Conn::Dialling(..) => true,
+            Conn::Carrying(exchange) => exchange.written == Written::Nothing,
+            Conn::Kept(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,333 @@
+//! The ledger itself: inputs to events for the decisions, their actions to effects, and the requests that are open.
+
+use crate::ages::Ages;
+use crate::conn::{Conn, Errand, Job};
+use crate::kept::Kept;
+use crate::places::Places;
+use crate::timers::{Key, Timers};
+use crate::{Answer, ConnId, Effect, Finish, Input, Target};
+use birchspoke::Balancer;
+use birchspoke::interface::{Action, BackendId, Event, ListKind, Outcome, RequestId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A probe that takes longer has failed.
+const PROBE_MS: f64 = 250.0;
+/// No time is longer.
+const LONGEST_MS: f64 = 86_400_000.0;
+
+/// What the platform or the operator allows, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A connection not made by then is not made.
+    pub connect_ms: f64,
+    /// Backends drop idle connections after this.
+    pub idle_ms: f64,
+}
+
+/// What a ledger holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sums {
+    /// Requests that are not over.
+    pub requests: usize,
+    /// Connections that carry something or are about to.
+    pub busy: usize,
+    /// Connections kept.
+    pub kept: usize,
+    /// Timers, beside those of the decisions.
+    pub timers: usize,
+}
+
+/// What is owed, or that it is given.
+#[derive(Clone, Debug)]
+enum Debt<O> {
+    Owed { owed: O, expiry: Key },
+    Given,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Open<O, C> {
+    debt: Debt<O>,
+    pub(crate) call: C,
+    /// By attempt, the connection that is out for it; none where it is over.
+    attempts: Vec<Option<ConnId>>,
+}
+
+impl<O, C> Open<O, C> {
+    pub(crate) fn given(&self) -> bool {
+        matches!(self.debt, Debt::Given)
+    }
+
+    fn over(&self) -> bool {
+        self.given() && self.attempts.iter().all(Option::is_none)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Timer {
+    /// The decisions', by their token.
+    Decisions(u64),
+    /// A request's time is up.
+    Expiry(RequestId),
+    /// A connection is waited for no longer.
+    Conn(ConnId),
+}
+
+/// The requests, attempts and connections of one pool of backends, and the decisions on them.
+#[derive(Clone, Debug)]
+pub struct Ledger<O, C> {
+    balancer: Balancer,
+    pub(crate) limits: Limits,
+    /// The time of the input that is handled.
+    pub(crate) now: f64,
+    pub(crate) open: BTreeMap<RequestId, Open<O, C>>,
+    pub(crate) places: Places,
+    pub(crate) conns: BTreeMap<ConnId, Conn>,
+    pub(crate) kept: Kept,
+    pub(crate) ages: Ages,
+    pub(crate) timers: Timers<Timer>,
+    /// What the decisions have yet to hear.
+    news: VecDeque<Event>,
+    pub(crate) next_conn: u64,
+    pub(crate) stopped: bool,
+}
+
+impl<O, C: Clone> Ledger<O, C> {
+    /// One that has heard nothing yet.
+    pub fn new(balancer: Balancer, limits: Limits) -> Ledger<O, C> {
+        Ledger {
+            balancer,
+            limits,
+            now: 0.0,
+            open: BTreeMap::new(),
+            places: Places::default(),
+            conns: BTreeMap::new(),
+            kept: Kept::default(),
+            ages: Ages::new(),
+            timers: Timers::new(),
+            news: VecDeque::new(),
+            next_conn: 0,
+            stopped: false,
+        }
+    }
+
+    /// When [`Input::Due`] is to be handed in, in milliseconds of the clock.
+    pub fn next_due_ms(&self) -> Option<f64> {
+        self.timers.next_ms()
+    }
+
+    /// A request could be served.
+    pub fn ready(&self) -> bool {
+        !self.places.is_empty()
+    }
+
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Since when the oldest kept connection is kept, in milliseconds of the clock.
+    pub fn oldest_kept_ms(&self) -> Option<f64> {
+        self.kept.oldest_ms()
+    }
+
+    /// What is held just now.
+    pub fn sums(&self) -> Sums {
+        let kept = self.kept.len();
+        let own = |(_, timer): &(f64, &Timer)| !matches!(timer, Timer::Decisions(_));
+        Sums {
+            requests: self.open.len(),
+            busy: self.conns.len().saturating_sub(kept),
+            kept,
+            timers: self.timers.iter().filter(own).count(),
+        }
+    }
+
+    /// Takes one input at the time `now`, in milliseconds of one clock that does not go back, and adds what is to be
+    /// done to `out`.
+    pub fn handle<R>(&mut self, now: f64, input: Input<O, C, R>, out: &mut Vec<Effect<O, C, R>>) {
+        self.now = now;
+        match input {
+            Input::Start => self.news.push_back(Event::Start),
+            Input::List(kind, targets) => self.list(kind, &targets, out),
+            Input::Arrived { request, expires_ms, call, owed } => {
+                let id = request.id;
+                if self.stopped || self.open.contains_key(&id) {
+                    // It never ran anywhere; an id that is taken is a front's mistake.
+                    out.push(Effect::Answer(owed, Answer::Refused { retry_after_ms: 0.0 }));
+                    return;
+                }
+                let expiry = self.timers.set(expires_ms, Timer::Expiry(id));
+                let debt = Debt::Owed { owed, expiry };
+                self.open.insert(id, Open { debt, call, attempts: Vec::new() });
+                self.news.push_back(Event::Request(request));
+            }
+            Input::Left(id) => self.left(id, out),
+            Input::Conn(conn, wire) => self.wire(conn, wire, out),
+            Input::Due => {
+                while let Some(timer) = self.timers.take_due(now) {
+                    match timer {
+                        Timer::Decisions(token) => self.news.push_back(Event::Timer(token)),
+                        Timer::Expiry(id) => self.left(id, out),
+                        Timer::Conn(conn) => self.overdue(conn, out),
+                    }
+                    self.decide(out);
+                }
+            }
+            Input::Message(from, bytes) => self.news.push_back(Event::Message { from, bytes }),
+            Input::Class(index, class) => self.news.push_back(Event::Class(index, class)),
+            Input::Sweep => self.sweep(out),
+            Input::Reclaim => self.reclaim(out),
+            Input::Stop => self.stop(out),
+        }
+        self.decide(out);
+    }
+
+    /// Hands the decisions all that is new, and carries out what they say.
+    pub(crate) fn decide<R>(&mut self, out: &mut Vec<Effect<O, C, R>>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.news.pop_front() {
+            self.balancer.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, out);
+            }
+        }
+    }
+
+    fn act<R>(&mut self, action: Action, out: &mut Vec<Effect<O, C, R>>) {
+        match action {
+            Action::Send { id, backend, timeout_ms } => self.send(id, backend, timeout_ms, out),
+            Action::Cancel { id, attempt } => {
+                let open = self.open.get(&id);
+                if let Some(conn) = open.and_then(|o| *o.attempts.get(attempt as usize)?) {
+                    self.give_up(conn, Outcome::Cancelled, out);
+                }
+            }
+            Action::Refuse { id, retry_after_ms } => {
+                self.settle(id, Answer::Refused { retry_after_ms }, out);
+            }
+            Action::Fail(id) => self.settle(id, Answer::Failed, out),
+            Action::Timer { token, at_ms } => {
+                self.timers.set(at_ms, Timer::Decisions(token));
+            }
+            Action::Probe(backend) => self.start(Errand::Probe, backend, PROBE_MS, out),
+            Action::Release(backend) => self.release(backend, out),
+            Action::Tell { to, bytes } => out.push(Effect::Tell(to, bytes)),
+            Action::Watch(on) => out.push(Effect::Watch(on)),
+            Action::Log(text) => out.push(Effect::Log(text)),
+        }
+    }
+
+    fn send<R>(
+        &mut self,
+        id: RequestId,
+        backend: BackendId,
+        timeout_ms: f64,
+        out: &mut Vec<Effect<O, C, R>>,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let errand = Errand::Attempt(id, u32::try_from(open.attempts.len()).unwrap_or(u32::MAX));
+        // Over until it has a connection.
+        open.attempts.push(None);
+        if open.given() {
+            let now = self.now;
+            self.tell(errand, backend, now, Outcome::Skipped.into(), out);
+        } else {
+            self.start(errand, backend, timeout_ms, out);
+        }
+    }
+
+    fn start<R>(&mut self, errand: Errand, backend: BackendId, ms: f64, out: &mut Vec<Effect<O, C, R>>) {
+        let now = self.now;
+        let until_ms = now + ms.clamp(0.0, LONGEST_MS);
+        match self.places.address(backend) {
+            Some(address) => self.carry(Job { errand, backend, address, sent_ms: now, until_ms }, out),
+            None => self.tell(errand, backend, now, Outcome::NotConnected.into(), out),
+        }
+    }
+
+    /// Notes which connection is out for an attempt; none where it is over.
+    pub(crate) fn out_for(&mut self, errand: Errand, conn: Option<ConnId>) {
+        let Errand::Attempt(id, attempt) = errand else { return };
+        let open = self.open.get_mut(&id);
+        if let Some(slot) = open.and_then(|o| o.attempts.get_mut(attempt as usize)) {
+            *slot = conn;
+        }
+    }
+
+    /// An errand is over: its request is answered, where it brought an answer that is still owed, and the decisions
+    /// will hear of it.
+    pub(crate) fn tell<R>(
+        &mut self,
+        errand: Errand,
+        backend: BackendId,
+        sent_ms: f64,
+        finish: Finish<R>,
+        out: &mut Vec<Effect<O, C, R>>,
+    ) {
+        let (elapsed_ms, Finish { outcome, reply, load }) = (self.now - sent_ms, finish);
+        let event = match errand {
+            Errand::Probe => Event::Probed { backend, outcome, elapsed_ms, load },
+            Errand::Attempt(id, attempt) => {
+                self.out_for(errand, None);
+                if let Some(reply) = reply {
+                    self.settle(id, Answer::Served(reply), out);
+                }
+                let last = self.open.get(&id).is_none_or(Open::given);
+                self.forget(id);
+                Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
+            }
+        };
+        self.news.push_back(event);
+    }
+
+    /// The one place where an answer is given: what is owed is moved out, so there is no second.
+    fn settle<R>(&mut self, id: RequestId, answer: Answer<R>, out: &mut Vec<Effect<O, C, R>>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Debt::Owed { owed, expiry } = std::mem::replace(&mut open.debt, Debt::Given) {
+            self.timers.clear(expiry);
+            out.push(Effect::Answer(owed, answer));
+        }
+        self.forget(id);
+    }
+
+    /// Drops a request that is over, and with it all that it holds.
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(Open::over) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn left<R>(&mut self, id: RequestId, out: &mut Vec<Effect<O, C, R>>) {
+        // After the answer this is no news.
+        if self.open.get(&id).is_some_and(|o| !o.given()) {
+            self.settle(id, Answer::Failed, out);
+            self.news.push_back(Event::Left(id));
+        }
+    }
+
+    fn list<R>(&mut self, kind: ListKind, targets: &[Target], out: &mut Vec<Effect<O, C, R>>) {
+        let useless = self.places.hear(kind, targets);
+        for backend in &useless {
+            self.release(*backend, out);
+        }
+        self.news.push_back(Event::List { kind, entries: targets.iter().map(|t| t.entry).collect() });
+        // First the decisions: what is cut off must not be sent there again.
+        self.decide(out);
+        if !useless.is_empty() {
+            self.cut_off(out);
+        }
+    }
+
+    fn stop<R>(&mut self, out: &mut Vec<Effect<O, C, R>>) {
+        self.stopped = true;
+        let ids: Vec<RequestId> = self.open.keys().copied().collect();
+        for id in ids {
+            self.left(id, out);
+        }
+        self.decide(out);
+        let conns: Vec<ConnId> = self.conns.keys().copied().collect();
+        for conn in conns {
+            self.give_up(conn, Outcome::Cancelled, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/wire.rs
@@ -0,0 +1,255 @@
+//! What happens on connections: which one a job gets, what each state makes of what is told, and how it ends.
+
+use crate::conn::{Conn, Errand, Exchange, Heard, Job, Written};
+use crate::ledger::{Ledger, Timer};
+use crate::{Cargo, ConnId, Effect, Finish, Wire};
+use birchspoke::interface::{BackendId, Outcome};
+
+/// An answer whose head is there is whole so soon, or it never will be.
+const BODY_MS: f64 = 100.0;
+/// An idle connection is dropped after this part of the time at which the backend drops it: a request that
+/// crosses the backend's close may have run, and an unsafe one is then lost.
+const IDLE_PART: f64 = 0.7;
+
+type Out<O, C, R> = Vec<Effect<O, C, R>>;
+
+impl<O, C: Clone> Ledger<O, C> {
+    /// Finds a connection for a job: one that is kept, or a new one.
+    pub(crate) fn carry<R>(&mut self, job: Job, out: &mut Out<O, C, R>) {
+        let limit_ms = self.idle_limit_ms();
+        if let Some((conn, idle_ms)) = self.kept.take(self.now, job.backend, limit_ms) {
+            self.begin(conn, job, Some(idle_ms), out);
+            return;
+        }
+        let conn = ConnId(self.next_conn);
+        self.next_conn += 1;
+        self.out_for(job.errand, Some(conn));
+        out.push(Effect::Dial(conn, job.address));
+        let timer = self.timers.set(self.dial_until_ms(&job), Timer::Conn(conn));
+        self.conns.insert(conn, Conn::Waiting(job, timer));
+    }
+
+    fn dial_until_ms(&self, job: &Job) -> f64 {
+        (self.now + self.limits.connect_ms.max(0.0)).min(job.until_ms)
+    }
+
+    /// Puts a job on a connection that stands.
+    fn begin<R>(&mut self, conn: ConnId, job: Job, idle_ms: Option<f64>, out: &mut Out<O, C, R>) {
+        let cargo = match job.errand {
+            Errand::Probe => Some(Cargo::Probe),
+            Errand::Attempt(id, _) => self.open.get(&id).map(|o| Cargo::Call(o.call.clone())),
+        };
+        self.out_for(job.errand, Some(conn));
+        if let Some(cargo) = cargo {
+            let left_ms = (job.until_ms - self.now).max(0.0);
+            out.push(Effect::Send { conn, cargo, left_ms, kept: idle_ms.is_some() });
+        }
+        let timer = self.timers.set(job.until_ms, Timer::Conn(conn));
+        let exchange = Exchange { job, timer, idle_ms, written: Written::Nothing, heard: Heard::Nothing };
+        self.conns.insert(conn, Conn::Carrying(exchange));
+    }
+
+    /// How long a connection may have been idle to be used again.
+    fn idle_limit_ms(&self) -> f64 {
+        let told = self.limits.idle_ms.max(0.0) * IDLE_PART;
+        self.ages.limit_ms().map_or(told, |good| good.min(told))
+    }
+
+    /// Something happened on a connection.
+    pub(crate) fn wire<R>(&mut self, id: ConnId, wire: Wire<R>, out: &mut Out<O, C, R>) {
+        // Of one that is closed nothing counts.
+        let Some(conn) = self.conns.remove(&id) else { return };
+        match (conn, wire) {
+            (Conn::Waiting(job, timer), Wire::Dialling) => {
+                self.timers.clear(timer);
+                let timer = self.timers.set(self.dial_until_ms(&job), Timer::Conn(id));
+                self.conns.insert(id, Conn::Dialling(job, timer));
+            }
+            (Conn::Waiting(job, timer) | Conn::Dialling(job, timer), Wire::NoDescriptor) => {
+                self.timers.clear(timer);
+                // `NotConnected` would blame the backends, and all of them would be held for dead.
+                self.end(&job, Outcome::Skipped.into(), out);
+            }
+            (Conn::Dialling(job, timer), Wire::Connected) => {
+                self.timers.clear(timer);
+                // The handshake took time: what has changed meanwhile holds for this send too.
+                if self.wanted(&job) {
+                    self.begin(id, job, None, out);
+                } else {
+                    out.push(Effect::Close(id));
+                    self.follow(job, out);
+                }
+            }
+            (Conn::Waiting(job, timer) | Conn::Dialling(job, timer), Wire::Unconnected | Wire::Broke) => {
+                self.timers.clear(timer);
+                self.end(&job, Outcome::NotConnected.into(), out);
+            }
+            (Conn::Carrying(e), Wire::Stale) if e.idle_ms.is_some() && e.written == Written::Nothing => {
+                self.timers.clear(e.timer);
+                out.push(Effect::Close(id));
+                self.carry(e.job, out);
+            }
+            (Conn::Kept(backend), Wire::Stale | Wire::Broke | Wire::Spoilt) => {
+                self.kept.remove(backend, id);
+                out.push(Effect::Close(id));
+            }
+            (Conn::Carrying(exchange), wire) => self.exchange(id, exchange, wire, out),
+            // Out of turn, and without meaning.
+            (conn, _) => {
+                self.conns.insert(id, conn);
+            }
+        }
+    }
+
+    fn exchange<R>(&mut self, id: ConnId, mut e: Exchange, wire: Wire<R>, out: &mut Out<O, C, R>) {
+        match wire {
+            Wire::Written(written) => e.written = e.written.max(written),
+            Wire::Came => e.heard = e.heard.max(Heard::Begun),
+            Wire::Headed => {
+                e.heard = Heard::Headed;
+                self.timers.clear(e.timer);
+                e.timer = self.timers.set(e.job.until_ms.min(self.now + BODY_MS), Timer::Conn(id));
+            }
+            // An answer to what was not asked is none.
+            Wire::Whole { finish, again } if e.written > Written::Nothing => {
+                self.timers.clear(e.timer);
+                self.note(&e, false);
+                self.end(&e.job, finish, out);
+                self.decide(out);
+                if again && !self.stopped && self.places.stands(e.job.backend, e.job.address) {
+                    self.kept.keep(self.now, e.job.backend, id);
+                    self.conns.insert(id, Conn::Kept(e.job.backend));
+                } else {
+                    out.push(Effect::Close(id));
+                }
+                return;
+            }
+            Wire::Spoilt | Wire::Whole { .. } => {
+                self.timers.clear(e.timer);
+                self.note(&e, false);
+                out.push(Effect::Close(id));
+                self.end(&e.job, e.spoilt().into(), out);
+                return;
+            }
+            Wire::Broke | Wire::Stale => {
+                self.timers.clear(e.timer);
+                self.note(&e, e.heard == Heard::Nothing);
+                out.push(Effect::Close(id));
+                if e.broke() == Outcome::Reset {
+                    // It may have been away: what was open to it before is reset as soon as something is sent on
+                    // it, and an unsafe request would be lost.
+                    self.release(e.job.backend, out);
+                }
+                self.end(&e.job, e.broke().into(), out);
+                return;
+            }
+            // Out of turn, and without meaning.
+            Wire::Dialling | Wire::NoDescriptor | Wire::Connected | Wire::Unconnected => {}
+        }
+        self.conns.insert(id, Conn::Carrying(e));
+    }
+
+    /// Learns how old a connection may be. Probes go where something is wrong already.
+    fn note(&mut self, e: &Exchange, broke: bool) {
+        if e.job.errand != Errand::Probe {
+            self.ages.note(self.now, e.idle_ms, broke);
+        }
+    }
+
+    fn end<R>(&mut self, job: &Job, finish: Finish<R>, out: &mut Out<O, C, R>) {
+        self.tell(job.errand, job.backend, job.sent_ms, finish, out);
+    }
+
+    /// A job's request and backend still stand, and the backend where it was.
+    fn wanted(&self, job: &Job) -> bool {
+        self.owed(job.errand) && self.places.stands(job.backend, job.address)
+    }
+
+    fn owed(&self, errand: Errand) -> bool {
+        match errand {
+            Errand::Probe => true,
+            Errand::Attempt(id, _) => self.open.get(&id).is_some_and(|o| !o.given()),
+        }
+    }
+
+    /// What is on a connection is waited for no longer.
+    pub(crate) fn overdue<R>(&mut self, id: ConnId, out: &mut Out<O, C, R>) {
+        let outcome = match self.conns.get(&id) {
+            Some(Conn::Waiting(..)) => Outcome::Skipped,
+            Some(Conn::Dialling(..)) => Outcome::NotConnected,
+            Some(Conn::Carrying(e)) => {
+                let (outcome, backend) = (e.timed_out(), e.job.backend);
+                if e.job.errand == Errand::Probe {
+                    self.release(backend, out);
+                }
+                outcome
+            }
+            Some(Conn::Kept(_)) | None => return,
+        };
+        self.give_up(id, outcome, out);
+    }
+
+    /// Closes a connection and ends what is on it.
+    pub(crate) fn give_up<R>(&mut self, id: ConnId, outcome: Outcome, out: &mut Out<O, C, R>) {
+        let Some(conn) = self.conns.remove(&id) else { return };
+        out.push(Effect::Close(id));
+        if let Conn::Kept(backend) = conn {
+            self.kept.remove(backend, id);
+        }
+        if let Some((job, timer)) = conn.into_job() {
+            self.timers.clear(timer);
+            self.end(&job, outcome.into(), out);
+        }
+    }
+
+    /// After a notice: what has not left this node goes to no backend that drains, is gone or is elsewhere, though a
+    /// connection is on its way there or stands.
+    pub(crate) fn cut_off<R>(&mut self, out: &mut Out<O, C, R>) {
+        let lost = |job: &Job| !self.places.stands(job.backend, job.address);
+        let cut = self.conns.iter().filter(|(_, c)| c.unwritten() && c.job().is_some_and(lost));
+        let cut: Vec<ConnId> = cut.map(|(id, _)| *id).collect();
+        for id in cut {
+            if let Some((job, timer)) = self.conns.remove(&id).and_then(Conn::into_job) {
+                self.timers.clear(timer);
+                out.push(Effect::Close(id));
+                self.follow(job, out);
+            }
+        }
+    }
+
+    /// A job of which nothing has left goes to where its backend is now; where that is nowhere, it never ran.
+    fn follow<R>(&mut self, mut job: Job, out: &mut Out<O, C, R>) {
+        match self.places.address(job.backend) {
+            Some(address) if address != job.address && self.owed(job.errand) => {
+                job.address = address;
+                self.carry(job, out);
+            }
+            _ => self.end(&job, Outcome::NotConnected.into(), out),
+        }
+    }
+
+    /// Closes the connections to a backend that carry nothing.
+    pub(crate) fn release<R>(&mut self, backend: BackendId, out: &mut Out<O, C, R>) {
+        let kept = self.kept.remove_all(backend);
+        self.close_all(kept, out);
+    }
+
+    /// Closes what has been kept for too long.
+    pub(crate) fn sweep<R>(&mut self, out: &mut Out<O, C, R>) {
+        let old = self.kept.remove_old(self.now, self.idle_limit_ms());
+        self.close_all(old, out);
+    }
+
+    /// Closes what has been kept longest.
+    pub(crate) fn reclaim<R>(&mut self, out: &mut Out<O, C, R>) {
+        let oldest = self.kept.remove_oldest();
+        self.close_all(oldest, out);
+    }
+
+    fn close_all<R>(&mut self, conns: impl IntoIterator<Item = ConnId>, out: &mut Out<O, C, R>) {
+        for conn in conns {
+            self.conns.remove(&conn);
+            out.push(Effect::Close(conn));
+        }
+    }
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,9 +1,10 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
-use crate::driver::{Driver, Input, Target};
+use crate::driver::{Driver, Input};
 use crate::log;
 use crate::socket::Descriptors;
 use crate::upstream::Conn;
+use applemill_ledger::Target;
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
 use bytes::Bytes;
@@ -208,7 +209,7 @@
             Some(conn) => conn,
             None => Conn::open(at, self.descriptors.take_own(), LIST_BUFFER).await?,
         };
-        let answer = conn.exchange(request, LIST_LIMIT, SLACK).await?;
+        let answer = conn.exchange(request, LIST_LIMIT, || {}).await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()).into());
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,9 @@
 //! One node: the decisions of the crate `birchspoke` on real sockets. Sockets, timers and files are here; no
 //! decision is.
 
+mod call;
 mod cli;
+mod clock;
 mod config;
 mod demo;
 mod discovery;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,9 +1,10 @@
 //! The operator's file in service: read from disk, turned into pools and classes of the decisions, and taken anew on
 //! a reload, whole or not at all. What the file says and whether it may is `applemill-routes`'.
 
-use crate::driver::{Driver, Input, Target};
+use crate::call::Dialect;
+use crate::driver::{Driver, Input};
 use crate::setup::{PoolSetup, Source};
-use crate::upstream::Dialect;
+use applemill_ledger::Target;
 use applemill_routes::{
     Chosen, DroppedBy, Effect as RouteEffect, File, LONGEST_FILE, Lease, MOST_PLANS, Plan, Platform,
     PlatformClass, Pool, Report, Retry, Rules, Slots, load_bytes,
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,8 +3,8 @@
 //! What is turned away costs no backend anything and is answered at once. Its connection ends with the answer:
 //! the rest of what such a client sends is not wanted, and may not mean what it seems to.
 
+use crate::call::{BODY_LIMIT, Call, EXPIRES, end_to_end, without_own};
 use crate::operator::{Operator, RunningPool, Version};
-use crate::upstream::{BODY_LIMIT, Call, EXPIRES, end_to_end, without_own};
 use applemill_routes::{self as routes, Found, Header, normal_host, normal_path};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::stable_hash;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::discovery::{self, Watch};
-use crate::driver::{Driver, Input};
+use crate::driver::{Driver, Input, Shared};
 use crate::log;
 use crate::operator::{Operator, RunningPool};
 use crate::peers::Peers;
@@ -10,7 +10,7 @@
 use crate::server::Server;
 use crate::setup::{PoolSetup, Setup, Source};
 use crate::socket::Descriptors;
-use crate::upstream::Upstream;
+use applemill_ledger::Limits;
 use birchspoke::Balancer;
 use birchspoke::interface::{ListKind, Settings};
 use std::error::Error;
@@ -90,9 +90,7 @@
 
 /// What each pool is put together from, beside its own settings.
 struct Parts {
-    upstream: Rc<Upstream>,
-    peers: Option<Rc<Peers>>,
-    descriptors: Rc<Descriptors>,
+    shared: Rc<Shared>,
     seed: u64,
 }
 
@@ -109,8 +107,7 @@
     let (reporting, mode) = (settings.reporting, settings.discovery);
     let balancer = Balancer::new(settings, parts.seed.wrapping_add(number))?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver =
-        Driver::new(balancer, reporting, parts.upstream.clone(), parts.peers.clone(), wish, dialect);
+    let driver = Driver::new(balancer, reporting, parts.shared.clone(), wish, dialect);
     driver.take(Input::Start);
     if let Some(known) = discovery::listing(&known, &names) {
         driver.take(Input::List(ListKind::Saved, known.targets));
@@ -118,7 +115,7 @@
     let moved = match source {
         Source::Discovery(at) => {
             let (told, address) = watch::channel(at);
-            let (names, descriptors) = (names.clone(), parts.descriptors.clone());
+            let (names, descriptors) = (names.clone(), parts.shared.descriptors.clone());
             let watch = Watch { address, mode, names, descriptors, wishes };
             spawn_local(watch.run(driver.clone()));
             Some(told)
@@ -131,6 +128,16 @@
     Ok((RunningPool { name, driver, names, own_classes }, moved))
 }
 
+/// Closes the connection to a backend that has been kept longest, for its descriptor.
+fn close_oldest(pools: &[RunningPool]) -> bool {
+    let drivers = pools.iter().map(|p| &p.driver);
+    let oldest = drivers.filter_map(|d| Some((d.oldest_kept_ms()?, d))).min_by(|a, b| a.0.total_cmp(&b.0));
+    oldest.is_some_and(|(_, driver)| {
+        driver.take(Input::Reclaim);
+        true
+    })
+}
+
 fn longest_deadline(settings: &Settings) -> f64 {
     settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
 }
@@ -149,7 +156,6 @@
     }
     let descriptors = Descriptors::new(setup.sockets);
     let buffer = (setup.memory / BUFFERS_PART / setup.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
-    let upstream = Upstream::new(descriptors.clone(), setup.connect_timeout_ms, setup.conn_idle_ms, buffer);
     let peers = match setup.peers {
         Some(p) => {
             let peers = Peers::new(p.listen, p.nodes, p.all, p.own).await;
@@ -164,8 +170,9 @@
         }
         _ => Vec::new(),
     };
-    let parts =
-        Parts { upstream: upstream.clone(), peers, descriptors: descriptors.clone(), seed: setup.seed };
+    let limits = Limits { connect_ms: setup.connect_timeout_ms, idle_ms: setup.conn_idle_ms };
+    let shared = Rc::new(Shared { descriptors: descriptors.clone(), peers: peers.clone(), buffer, limits });
+    let parts = Parts { shared, seed: setup.seed };
     let (mut pools, mut moves) = (Vec::new(), Vec::new());
     for (pool, number) in setup.pools.into_iter().zip(0..) {
         let (pool, moved) = start_pool(pool, number, &parts)?;
@@ -179,7 +186,7 @@
     let platform = if setup.platform { moves.next().flatten() } else { None };
     let _others: Vec<_> = moves.collect();
     spawn_local(reload(hangup, platform, operator.clone(), pools.clone()));
-    if let (Some(peers), Some(first)) = (parts.peers.clone(), pools.first()) {
+    if let (Some(peers), Some(first)) = (peers, pools.first()) {
         let driver = first.driver.clone();
         spawn_local(async move {
             loop {
@@ -188,12 +195,15 @@
             }
         });
     }
+    let kept = pools.clone();
+    descriptors.on_backends(Box::new(move || close_oldest(&kept)));
+    let swept = pools.clone();
     spawn_local(async move {
         let mut turn = tokio::time::interval(SWEEP);
         turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             turn.tick().await;
-            upstream.sweep();
+            swept.iter().for_each(|pool| pool.driver.sweep());
         }
     });
     let most = if setup.platform { LONGEST_DEADLINE } else { LONGEST_STOP };
@@ -222,7 +232,7 @@
     }
     server.wind_down(end).await;
     // Better failed than lost: what is still open would be cut by the end of the process.
-    pools.iter().for_each(|p| p.driver.end_all());
+    pools.iter().for_each(|p| p.driver.take(Input::Stop));
     server.wind_down(Instant::now() + FAREWELL).await;
     Ok(())
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,10 +1,11 @@
 //! The client side: connections, what they ask, and the answers they get.
 
-use crate::driver::Answer;
+use crate::call::Reply;
 use crate::log;
 use crate::operator::RunningPool;
 use crate::request::{Own, Reader, Reading, Turned, farewell, plain};
 use crate::socket::{Descriptors, Slot, Socket};
+use applemill_ledger::Answer;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
@@ -390,7 +391,7 @@
 }
 
 /// The answer as the client sees it.
-fn answer(answer: Answer) -> Own {
+fn answer(answer: Answer<Reply>) -> Own {
     match answer {
         Answer::Served(reply) => {
             let mut response = Response::new(Full::new(reply.body));
--- a/crates/node/src/setup.rs
+++ b/crates/node/src/setup.rs
@@ -1,9 +1,10 @@
 //! What a node is made of: from the platform's configuration, an operator's file, or both.
 
+use crate::call::Dialect;
 use crate::config::{Config, ConfigError};
-use crate::driver::Target;
+
 use crate::operator::{self, FileError, Operator};
-use crate::upstream::Dialect;
+use applemill_ledger::Target;
 use birchspoke::interface::Settings;
 use birchspoke::wire::Names;
 use serde_json::Value;
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -118,10 +118,32 @@
     }
 }
 
+/// What goes through a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// Bytes in.
+    In,
+    /// Bytes out.
+    Out,
+    /// All that was to go out is out.
+    AllOut,
+}
+
+/// Hears what goes through a socket, each kind when it first does.
+pub type Watcher = Box<dyn Fn(Passed)>;
+
+/// Who hears it, and the latest of each direction that was told.
+#[derive(Default)]
+struct Watch {
+    watcher: Option<Watcher>,
+    told_in: bool,
+    told_out: Option<Passed>,
+}
+
 struct Inner {
     stream: TcpStream,
     read: Cell<u64>,
-    written: Cell<u64>,
+    watch: RefCell<Watch>,
     _slot: Slot,
 }
 
@@ -134,7 +156,7 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Inner { stream, read: Cell::new(0), written: Cell::new(0), _slot: slot }))
+        Socket(Rc::new(Inner { stream, read: Cell::new(0), watch: RefCell::default(), _slot: slot }))
     }
 
     /// Bytes read so far.
@@ -142,9 +164,25 @@
         self.0.read.get()
     }
 
-    /// Bytes written so far.
-    pub fn written(&self) -> u64 {
-        self.0.written.get()
+    /// Who hears from now on what goes through; nobody for none.
+    pub fn watch(&self, watcher: Option<Watcher>) {
+        *self.0.watch.borrow_mut() = Watch { watcher, ..Watch::default() };
+    }
+
+    fn passed(&self, passed: Passed) {
+        let mut watch = self.0.watch.borrow_mut();
+        let news = match (passed, watch.told_out) {
+            (Passed::In, _) => !std::mem::replace(&mut watch.told_in, true),
+            // Nothing has gone out that could be all.
+            (Passed::AllOut, None) => false,
+            (out, told) => {
+                watch.told_out = Some(out);
+                told != Some(out) && told != Some(Passed::AllOut)
+            }
+        };
+        if let Some(watcher) = watch.watcher.as_ref().filter(|_| news) {
+            watcher(passed);
+        }
     }
 
     /// Reads so many bytes, or to the end, without keeping any.
@@ -180,6 +218,9 @@
                 Ok(n) => {
                     buf.advance(n);
                     self.0.read.set(self.0.read.get() + n as u64);
+                    if n > 0 {
+                        self.passed(Passed::In);
+                    }
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -199,7 +240,9 @@
             ready!(self.0.stream.poll_write_ready(cx))?;
             match write(&self.0.stream) {
                 Ok(n) => {
-                    self.0.written.set(self.0.written.get() + n as u64);
+                    if n > 0 {
+                        self.passed(Passed::Out);
+                    }
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -227,6 +270,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Asked for when the writer's own buffer is empty.
+        self.passed(Passed::AllOut);
         Poll::Ready(Ok(()))
     }
 
