--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -1,26 +1,22 @@
 //! The world round a ledger, in small: clients, connections, backends, a list and the time. It keeps its own record of
 //! what ran where and what was answered when, and judges by that alone.
 
+mod enabled;
+mod judge;
+mod node;
+
 use crate::property::{Broken, Property};
-use crate::scenario::{Faults, GRACE_MS, KEY_MS, LAST_MARGIN_MS, MARGIN_MS, Notice, PATIENCE_MS, Scenario};
-use crate::subject::{In, Out, Reply, Subject};
-use applemill_ledger::{Answer, Cargo, ConnId, Finish, Limits, Target, Wire, Written};
+use crate::scenario::{Faults, GRACE_MS, LAST_MARGIN_MS, MARGIN_MS, Notice, PATIENCE_MS, Scenario};
+use crate::subject::{In, Reply, Subject};
+use applemill_ledger::{ConnId, Limits, Target, Wire, Written};
 use birchspoke::Balancer;
-use birchspoke::interface::{
-    BackendId, Effect as Repeats, Entry, Health, ListKind, Load, Outcome, Request, RequestId,
-};
+use birchspoke::interface::{BackendId, Effect as Repeats, Entry, Health, ListKind, Request, RequestId};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
-/// A timer may be handed in so late, while other things go first. Less than the ledger's margin for it.
-const LATE_MS: f64 = 0.5;
 /// What comes behind an answer is there so soon.
 const BEHIND_MS: f64 = 10.0;
-/// Time goes in steps up to then.
-const STEPS_MS: f64 = 100.0;
-/// Nothing falls due later that matters.
-const HORIZON_MS: f64 = 10_000.0;
 /// The seed of the decisions' draws.
 const SEED: u64 = 7;
 
@@ -281,114 +277,6 @@
         self.hand_in(In::Arrived { request, expires_ms, call: n, owed: n })
     }
 
-    /// The moment to which time goes on; none where nothing waits for it.
-    fn next_moment(&self) -> Option<f64> {
-        let due = self.subject.due_ms().filter(|due| *due < HORIZON_MS);
-        if let Some(due) = due.filter(|due| *due <= self.now) {
-            // It is handed in late, but not later than this.
-            return Some(due + LATE_MS).filter(|late| self.scenario.late && *late > self.now);
-        }
-        let held = self.subject.held();
-        let waits = held.requests > 0 || held.busy > 0 || self.clients.iter().any(Client::waits);
-        let due = due.filter(|_| waits);
-        // Where time goes in steps, it does so until all have asked.
-        let asks = self.clients.iter().any(|c| c.asked.is_none()) && self.now < STEPS_MS;
-        let step =
-            self.scenario.step_ms.filter(|_| asks).map(|step| ((self.now / step).floor() + 1.0) * step);
-        step.into_iter().chain(due).min_by(f64::total_cmp)
-    }
-
-    /// All that may happen now.
-    pub fn enabled(&self) -> Vec<Happening> {
-        use Happening as H;
-        let mut all = Vec::new();
-        if let Some(n) = self.clients.iter().position(|c| c.asked.is_none()) {
-            all.push(H::Arrive(n));
-        }
-        if self.left.leaves > 0 {
-            all.extend(
-                (0..self.clients.len())
-                    .filter(|n| self.clients.get(*n).is_some_and(Client::waits))
-                    .map(H::Leave),
-            );
-        }
-        for (id, link) in &self.links {
-            self.enabled_on(*id, link, &mut all);
-        }
-        if let Some(notice) = self.scenario.notices.get(self.notices) {
-            let ends = matches!(notice, Notice::Remove | Notice::Restart) && !self.ended;
-            all.push(if ends { H::Ends } else { H::Notice });
-        }
-        if self.scenario.stop && !self.stopped {
-            all.push(H::Stop);
-        }
-        if self.subject.due_ms().is_some_and(|due| due <= self.now) {
-            all.push(H::Due);
-        }
-        if self.next_moment().is_some() {
-            all.push(H::Pass);
-        }
-        all
-    }
-
-    fn enabled_on(&self, id: ConnId, link: &Link, all: &mut Vec<Happening>) {
-        use Happening as H;
-        let left = &self.left;
-        let dead = self.dead.contains(&link.address);
-        if !link.coming.is_empty() {
-            all.push(H::Read(id));
-        }
-        match link.stands {
-            Stands::Wanted => all.push(H::Descriptor(id)),
-            Stands::Dialling => {
-                if !dead {
-                    all.push(H::Connect(id));
-                }
-                if dead || left.unconnected > 0 {
-                    all.push(H::Unconnected(id));
-                }
-            }
-            Stands::Open if link.cargo.is_some() => {
-                if link.out < Written::Whole && !link.unquiet {
-                    all.push(H::Whole(id));
-                    if left.parts > 0 && link.out == Written::Nothing {
-                        all.push(H::Part(id));
-                    }
-                }
-                if link.out == Written::Whole && !link.acted {
-                    all.push(H::Serve(id));
-                    let more = [
-                        (left.extras, H::ServeMore(id)),
-                        (left.refusals, H::Turn(id)),
-                        (left.garbles, H::Garble(id)),
-                        (left.resets, H::RunReset(id)),
-                        (left.interims, H::Interim(id)),
-                    ];
-                    all.extend(more.into_iter().filter(|(n, _)| *n > 0).map(|(_, h)| h));
-                }
-                if left.resets > 0 && link.out < Written::Whole {
-                    all.push(H::Reset(id));
-                }
-                if self.may_come_behind(link) && link.coming.is_empty() {
-                    all.push(H::Behind(id));
-                }
-            }
-            Stands::Open => {
-                if left.closes > 0 && !link.unquiet {
-                    all.push(H::CloseIdle(id));
-                }
-                if self.may_come_behind(link) {
-                    all.push(H::Behind(id));
-                }
-            }
-            Stands::Closed => {}
-        }
-    }
-
-    fn may_come_behind(&self, link: &Link) -> bool {
-        link.behind && link.quiet.is_some_and(|since| self.now < f64::from_bits(since) + BEHIND_MS)
-    }
-
     /// Lets something happen, and judges what comes of it.
     ///
     /// # Errors
@@ -520,47 +408,6 @@
         });
     }
 
-    fn read(&mut self, id: ConnId) -> Result<(), Broken> {
-        let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
-        if link.coming.is_empty() {
-            return Ok(());
-        }
-        let news = link.coming.remove(0);
-        let cargo = link.cargo;
-        let done = |outcome, reply| Finish { outcome, reply, load: Load::default() };
-        let whole = |finish| Wire::Whole { finish, again: true };
-        if matches!(news, News::Served | News::Turned) && link.stands == Stands::Open {
-            link.quiet = Some(self.now.to_bits());
-            // What the node makes of it decides what it is now: until then it is no more on its way.
-            (link.cargo, link.out, link.acted) = (None, Written::Nothing, false);
-        }
-        if news == News::Broken && link.stands == Stands::Open {
-            link.stands = Stands::Closed;
-            link.acted = true;
-        }
-        if link.stands == Stands::Closed && link.acted && link.coming.is_empty() {
-            self.links.remove(&id);
-        }
-        match news {
-            News::Interim => self.wire(id, Wire::Came),
-            News::Broken => self.wire(id, Wire::Broke),
-            News::Garbled => {
-                self.wire(id, Wire::Came)?;
-                self.wire(id, Wire::Spoilt)
-            }
-            News::Served => {
-                self.wire(id, Wire::Came)?;
-                self.wire(id, Wire::Headed)?;
-                self.wire(id, whole(done(Outcome::Done, cargo)))
-            }
-            News::Turned => {
-                self.wire(id, Wire::Came)?;
-                self.wire(id, Wire::Headed)?;
-                self.wire(id, whole(done(Outcome::Full, None)))
-            }
-        }
-    }
-
     /// The process of backend 0 ends, and what was connected to it breaks.
     fn ends(&mut self) {
         self.ended = true;
@@ -601,185 +448,6 @@
         self.hand_in(In::List(ListKind::Changes, vec![news]))
     }
 
-    /// Hands in one input and carries out what is said, as the node does.
-    fn hand_in(&mut self, input: In) -> Result<(), Broken> {
-        let mut out = Vec::new();
-        let mut next = Some(input);
-        let mut waiting = std::collections::VecDeque::new();
-        while let Some(input) = next {
-            self.subject.take(self.now, input, &mut out);
-            for effect in out.drain(..) {
-                self.carry_out(effect, &mut waiting)?;
-            }
-            next = waiting.pop_front();
-        }
-        Ok(())
-    }
-
-    fn carry_out(
-        &mut self,
-        effect: Out,
-        waiting: &mut std::collections::VecDeque<In>,
-    ) -> Result<(), Broken> {
-        if self.telling {
-            self.said.extend(crate::story::effect(&effect));
-        }
-        match effect {
-            Out::Dial(id, at) => {
-                let backend = self.addresses.iter().position(|a| *a == at).unwrap_or(0);
-                let scarce = self.scenario.scarce;
-                let stands = if scarce { Stands::Wanted } else { Stands::Dialling };
-                let link = Link {
-                    backend,
-                    address: at,
-                    stands,
-                    cargo: None,
-                    out: Written::Nothing,
-                    times: (0, 0),
-                    acted: false,
-                    coming: Vec::new(),
-                    quiet: None,
-                    behind: false,
-                    unquiet: false,
-                };
-                self.links.insert(id, link);
-                if !scarce {
-                    waiting.push_back(In::Conn(id, Wire::Dialling));
-                }
-            }
-            Out::Send { conn, cargo, kept, .. } => {
-                let Some(link) = self.links.get_mut(&conn).filter(|l| l.stands == Stands::Open) else {
-                    waiting.push_back(In::Conn(conn, Wire::Broke));
-                    return Ok(());
-                };
-                if kept && link.unquiet {
-                    link.stands = Stands::Closed;
-                    waiting.push_back(In::Conn(conn, Wire::Stale));
-                    return Ok(());
-                }
-                let quiet = link.quiet.map(f64::from_bits);
-                if link.cargo.is_some() || quiet.is_some_and(|since| self.now - since < BEHIND_MS) {
-                    let how = format!("at {} ms, quiet since {quiet:?}", self.now);
-                    return Err(Broken { property: Property::Quiet, how });
-                }
-                link.cargo = match cargo {
-                    Cargo::Call(n) => Some(n),
-                    Cargo::Probe => None,
-                };
-            }
-            Out::Close(id) => {
-                // A backend that has all of a request may run it though nobody waits any more, and what was on its
-                // way may still be told. That it does run is the worst: nothing that holds then fails otherwise.
-                let Some(mut link) = self.links.remove(&id) else { return Ok(()) };
-                let whole = link.out == Written::Whole && !link.acted;
-                self.runs.extend(Run::of(&link).filter(|_| whole));
-                if !link.coming.is_empty() {
-                    (link.stands, link.acted) = (Stands::Closed, true);
-                    self.links.insert(id, link);
-                }
-            }
-            Out::Answer(n, answer) => self.answered(n, &answer)?,
-            Out::Tell(..) | Out::Watch(_) | Out::Log(_) => {}
-        }
-        Ok(())
-    }
-
-    fn answered(&mut self, n: usize, answer: &Answer<Reply>) -> Result<(), Broken> {
-        let Some(client) = self.clients.get_mut(n) else { return Ok(()) };
-        if client.given.is_some() {
-            return Err(Broken { property: Property::One, how: format!("client {n} is answered again") });
-        }
-        client.given = Some(match answer {
-            Answer::Served(_) => Given::Served,
-            Answer::Refused { .. } => Given::Refused,
-            Answer::Failed => Given::Failed,
-        });
-        if !client.left && self.now > client.patience_ends() {
-            let how = format!("client {n} is answered at {} ms", self.now);
-            return Err(Broken { property: Property::InTime, how });
-        }
-        match answer {
-            Answer::Served(whose) if *whose != n => {
-                let how = format!("client {n} gets the answer to client {whose}");
-                Err(Broken { property: Property::Own, how })
-            }
-            _ => Ok(()),
-        }
-    }
-
-    /// What must hold at every moment.
-    fn judge(&self) -> Result<(), Broken> {
-        let late = self.clients.iter().position(|c| c.waits() && self.now >= c.patience_ends());
-        if let Some(n) = late {
-            let how = format!("client {n} has no answer at {} ms", self.now);
-            return Err(Broken { property: Property::InTime, how });
-        }
-        for (n, (client, effect)) in self.clients.iter().zip(&self.scenario.requests).enumerate() {
-            self.judge_runs(n, client, *effect)?;
-            let over = client.given.is_some() || client.left;
-            let out = |l: &&Link| l.cargo == Some(n) && l.stands == Stands::Open;
-            if let Some(link) = self.links.values().find(out).filter(|_| over) {
-                let how = format!(
-                    "client {n} is done with, and an attempt for it is open at backend {}",
-                    link.backend
-                );
-                return Err(Broken { property: Property::Closed, how });
-            }
-        }
-        Ok(())
-    }
-
-    fn judge_runs(&self, n: usize, client: &Client, effect: Repeats) -> Result<(), Broken> {
-        let runs: Vec<_> = self.runs.iter().filter(|run| run.client == n).collect();
-        let Some(first) = runs.iter().min_by_key(|run| run.times) else { return Ok(()) };
-        let counts = match effect {
-            Repeats::Safe => return Ok(()),
-            Repeats::Unsafe => runs.len(),
-            // A repeat is dropped in its cell, where it has left before the key is forgotten.
-            Repeats::Keyed(_) => {
-                let ends = f64::from_bits(first.times.0) + KEY_MS;
-                let dropped = |run: &&&Run| {
-                    run.backend / 2 == first.backend / 2 && f64::from_bits(run.times.1) <= ends
-                };
-                1 + runs.iter().filter(|run| !dropped(run)).count()
-            }
-        };
-        if counts > 1 {
-            let how = format!("the request of client {n} took effect {counts} times");
-            return Err(Broken { property: Property::Once, how });
-        }
-        if client.given == Some(Given::Refused) {
-            let how = format!("client {n} is refused, and its request has run");
-            return Err(Broken { property: Property::Refused, how });
-        }
-        Ok(())
-    }
-
-    /// What must hold at once when the node's time is over.
-    fn judge_stop(&self) -> Result<(), Broken> {
-        let (owed, held) = (self.clients.iter().any(Client::waits), self.subject.held());
-        if owed || held.requests + held.busy > 0 {
-            let how = format!("owed after the stop: {owed}; {held:?}");
-            return Err(Broken { property: Property::Stop, how });
-        }
-        Ok(())
-    }
-
-    /// What must hold when nothing more can happen.
-    ///
-    /// # Errors
-    /// A property is broken.
-    pub fn judge_end(&self) -> Result<(), Broken> {
-        if let Some(n) = self.clients.iter().position(|c| c.given.is_none()) {
-            return Err(Broken { property: Property::One, how: format!("client {n} was never answered") });
-        }
-        let held = self.subject.held();
-        if held.requests + held.busy + held.timers > 0 {
-            return Err(Broken { property: Property::Held, how: format!("{held:?}") });
-        }
-        Ok(())
-    }
-
     /// All that tells this world from another: two with the same hash are held for one.
     pub fn digest(&self, state: &mut dyn Hasher) {
         let mut state = state;
--- /dev/null
+++ b/crates/explore/src/world/judge.rs
@@ -0,0 +1,106 @@
+//! What must hold, by the world's record.
+
+use super::{Client, Given, Link, Run, Stands, World};
+use crate::property::{Broken, Property};
+use crate::scenario::KEY_MS;
+use crate::subject::{Reply, Subject};
+use applemill_ledger::Answer;
+use birchspoke::interface::Effect as Repeats;
+
+impl<S: Subject> World<'_, S> {
+    pub(super) fn answered(&mut self, n: usize, answer: &Answer<Reply>) -> Result<(), Broken> {
+        let Some(client) = self.clients.get_mut(n) else { return Ok(()) };
+        if client.given.is_some() {
+            return Err(Broken { property: Property::One, how: format!("client {n} is answered again") });
+        }
+        client.given = Some(match answer {
+            Answer::Served(_) => Given::Served,
+            Answer::Refused { .. } => Given::Refused,
+            Answer::Failed => Given::Failed,
+        });
+        if !client.left && self.now > client.patience_ends() {
+            let how = format!("client {n} is answered at {} ms", self.now);
+            return Err(Broken { property: Property::InTime, how });
+        }
+        match answer {
+            Answer::Served(whose) if *whose != n => {
+                let how = format!("client {n} gets the answer to client {whose}");
+                Err(Broken { property: Property::Own, how })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// What must hold at every moment.
+    pub(super) fn judge(&self) -> Result<(), Broken> {
+        let late = self.clients.iter().position(|c| c.waits() && self.now >= c.patience_ends());
+        if let Some(n) = late {
+            let how = format!("client {n} has no answer at {} ms", self.now);
+            return Err(Broken { property: Property::InTime, how });
+        }
+        for (n, (client, effect)) in self.clients.iter().zip(&self.scenario.requests).enumerate() {
+            self.judge_runs(n, client, *effect)?;
+            let over = client.given.is_some() || client.left;
+            let out = |l: &&Link| l.cargo == Some(n) && l.stands == Stands::Open;
+            if let Some(link) = self.links.values().find(out).filter(|_| over) {
+                let how = format!(
+                    "client {n} is done with, and an attempt for it is open at backend {}",
+                    link.backend
+                );
+                return Err(Broken { property: Property::Closed, how });
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn judge_runs(&self, n: usize, client: &Client, effect: Repeats) -> Result<(), Broken> {
+        let runs: Vec<_> = self.runs.iter().filter(|run| run.client == n).collect();
+        let Some(first) = runs.iter().min_by_key(|run| run.times) else { return Ok(()) };
+        let counts = match effect {
+            Repeats::Safe => return Ok(()),
+            Repeats::Unsafe => runs.len(),
+            // A repeat is dropped in its cell, where it has left before the key is forgotten.
+            Repeats::Keyed(_) => {
+                let ends = f64::from_bits(first.times.0) + KEY_MS;
+                let dropped = |run: &&&Run| {
+                    run.backend / 2 == first.backend / 2 && f64::from_bits(run.times.1) <= ends
+                };
+                1 + runs.iter().filter(|run| !dropped(run)).count()
+            }
+        };
+        if counts > 1 {
+            let how = format!("the request of client {n} took effect {counts} times");
+            return Err(Broken { property: Property::Once, how });
+        }
+        if client.given == Some(Given::Refused) {
+            let how = format!("client {n} is refused, and its request has run");
+            return Err(Broken { property: Property::Refused, how });
+        }
+        Ok(())
+    }
+
+    /// What must hold at once when the node's time is over.
+    pub(super) fn judge_stop(&self) -> Result<(), Broken> {
+        let (owed, held) = (self.clients.iter().any(Client::waits), self.subject.held());
+        if owed || held.requests + held.busy > 0 {
+            let how = format!("owed after the stop: {owed}; {held:?}");
+            return Err(Broken { property: Property::Stop, how });
+        }
+        Ok(())
+    }
+
+    /// What must hold when nothing more can happen.
+    ///
+    /// # Errors
+    /// A property is broken.
+    pub fn judge_end(&self) -> Result<(), Broken> {
+        if let Some(n) = self.clients.iter().position(|c| c.given.is_none()) {
+            return Err(Broken { property: Property::One, how: format!("client {n} was never answered") });
+        }
+        let held = self.subject.held();
+        if held.requests + held.busy + held.timers > 0 {
+            return Err(Broken { property: Property::Held, how: format!("{held:?}") });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/explore/src/world/node.rs
@@ -0,0 +1,130 @@
+//! The node round the ledger: it hands in what happened and carries out what is to be done, at once.
+
+use super::{BEHIND_MS, Link, News, Run, Stands, World};
+use crate::property::{Broken, Property};
+use crate::subject::{In, Out, Subject};
+use applemill_ledger::{Cargo, ConnId, Finish, Wire, Written};
+use birchspoke::interface::{Load, Outcome};
+use std::collections::VecDeque;
+
+impl<S: Subject> World<'_, S> {
+    /// Hands in one input and carries out what is said, as the node does.
+    pub(super) fn hand_in(&mut self, input: In) -> Result<(), Broken> {
+        let mut out = Vec::new();
+        let mut next = Some(input);
+        let mut waiting = VecDeque::new();
+        while let Some(input) = next {
+            self.subject.take(self.now, input, &mut out);
+            for effect in out.drain(..) {
+                self.carry_out(effect, &mut waiting)?;
+            }
+            next = waiting.pop_front();
+        }
+        Ok(())
+    }
+
+    pub(super) fn carry_out(&mut self, effect: Out, waiting: &mut VecDeque<In>) -> Result<(), Broken> {
+        if self.telling {
+            self.said.extend(crate::story::effect(&effect));
+        }
+        match effect {
+            Out::Dial(id, at) => {
+                let backend = self.addresses.iter().position(|a| *a == at).unwrap_or(0);
+                let scarce = self.scenario.scarce;
+                let stands = if scarce { Stands::Wanted } else { Stands::Dialling };
+                let link = Link {
+                    backend,
+                    address: at,
+                    stands,
+                    cargo: None,
+                    out: Written::Nothing,
+                    times: (0, 0),
+                    acted: false,
+                    coming: Vec::new(),
+                    quiet: None,
+                    behind: false,
+                    unquiet: false,
+                };
+                self.links.insert(id, link);
+                if !scarce {
+                    waiting.push_back(In::Conn(id, Wire::Dialling));
+                }
+            }
+            Out::Send { conn, cargo, kept, .. } => {
+                let Some(link) = self.links.get_mut(&conn).filter(|l| l.stands == Stands::Open) else {
+                    waiting.push_back(In::Conn(conn, Wire::Broke));
+                    return Ok(());
+                };
+                if kept && link.unquiet {
+                    link.stands = Stands::Closed;
+                    waiting.push_back(In::Conn(conn, Wire::Stale));
+                    return Ok(());
+                }
+                let quiet = link.quiet.map(f64::from_bits);
+                if link.cargo.is_some() || quiet.is_some_and(|since| self.now - since < BEHIND_MS) {
+                    let how = format!("at {} ms, quiet since {quiet:?}", self.now);
+                    return Err(Broken { property: Property::Quiet, how });
+                }
+                link.cargo = match cargo {
+                    Cargo::Call(n) => Some(n),
+                    Cargo::Probe => None,
+                };
+            }
+            Out::Close(id) => {
+                // A backend that has all of a request may run it though nobody waits any more, and what was on its
+                // way may still be told. That it does run is the worst: nothing that holds then fails otherwise.
+                let Some(mut link) = self.links.remove(&id) else { return Ok(()) };
+                let whole = link.out == Written::Whole && !link.acted;
+                self.runs.extend(Run::of(&link).filter(|_| whole));
+                if !link.coming.is_empty() {
+                    (link.stands, link.acted) = (Stands::Closed, true);
+                    self.links.insert(id, link);
+                }
+            }
+            Out::Answer(n, answer) => self.answered(n, &answer)?,
+            Out::Tell(..) | Out::Watch(_) | Out::Log(_) => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn read(&mut self, id: ConnId) -> Result<(), Broken> {
+        let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
+        if link.coming.is_empty() {
+            return Ok(());
+        }
+        let news = link.coming.remove(0);
+        let cargo = link.cargo;
+        let done = |outcome, reply| Finish { outcome, reply, load: Load::default() };
+        let whole = |finish| Wire::Whole { finish, again: true };
+        if matches!(news, News::Served | News::Turned) && link.stands == Stands::Open {
+            link.quiet = Some(self.now.to_bits());
+            // What the node makes of it decides what it is now: until then it is no more on its way.
+            (link.cargo, link.out, link.acted) = (None, Written::Nothing, false);
+        }
+        if news == News::Broken && link.stands == Stands::Open {
+            link.stands = Stands::Closed;
+            link.acted = true;
+        }
+        if link.stands == Stands::Closed && link.acted && link.coming.is_empty() {
+            self.links.remove(&id);
+        }
+        match news {
+            News::Interim => self.wire(id, Wire::Came),
+            News::Broken => self.wire(id, Wire::Broke),
+            News::Garbled => {
+                self.wire(id, Wire::Came)?;
+                self.wire(id, Wire::Spoilt)
+            }
+            News::Served => {
+                self.wire(id, Wire::Came)?;
+                self.wire(id, Wire::Headed)?;
+                self.wire(id, whole(done(Outcome::Done, cargo)))
+            }
+            News::Turned => {
+                self.wire(id, Wire::Came)?;
+                self.wire(id, Wire::Headed)?;
+                self.wire(id, whole(done(Outcome::Full, None)))
+            }
+        }
+    }
+}
