Tell the ledger of progress once a poll, not of each byte's passing

The ledger heard four inputs between a send and its answer: first bytes out, all out, first bytes in, head in; and the head's timer was set and cleared though the body was there. Now an exchange tells how far it is when it has to wait, which is before anything else can happen in a node of one thread.

--- a/crates/explore/src/scenario.rs
+++ b/crates/explore/src/scenario.rs
@@ -43,7 +43,7 @@
     pub refusals: u8,
     /// It runs one and answers with what is none.
     pub garbles: u8,
-    /// It says that it is at it, and the answer comes later or never.
+    /// It says that it is at it, or sends an answer's head, and the answer comes later or never.
     pub interims: u8,
     /// It answers, and sends more than belongs to the answer.
     pub extras: u8,
--- a/crates/explore/src/story.rs
+++ b/crates/explore/src/story.rs
@@ -42,6 +42,7 @@
         H::Turn(c) => format!("{} turns {} away unseen", backend(c), whose(c)),
         H::Garble(c) => format!("{} runs {} and answers with what is none", backend(c), whose(c)),
         H::Interim(c) => format!("{} says that it is at {}", backend(c), whose(c)),
+        H::Head(c) => format!("{} sends the head of its answer to {}", backend(c), whose(c)),
         H::Reset(c) => {
             format!("connection {} is reset; {} has not got all of {}", c.0, backend(c), whose(c))
         }
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -8,7 +8,7 @@
 use crate::property::{Broken, Property};
 use crate::scenario::{Faults, GRACE_MS, LAST_MARGIN_MS, MARGIN_MS, Notice, PATIENCE_MS, Scenario};
 use crate::subject::{In, Reply, Subject};
-use applemill_ledger::{ConnId, Limits, Target, Wire, Written};
+use applemill_ledger::{ConnId, Heard, Limits, Target, Wire, Written};
 use birchspoke::Balancer;
 use birchspoke::interface::{BackendId, Effect as Repeats, Entry, Health, ListKind, Request, RequestId};
 use std::collections::BTreeMap;
@@ -47,6 +47,8 @@
     Garble(ConnId),
     /// It says that it is at it.
     Interim(ConnId),
+    /// It sends an answer's head, and the rest later.
+    Head(ConnId),
     /// The connection is reset before the last byte has left.
     Reset(ConnId),
     /// It has run, and then the connection is reset.
@@ -107,6 +109,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum News {
     Interim,
+    Head,
     Served,
     Turned,
     Garbled,
@@ -330,6 +333,10 @@
                 self.left.interims -= 1;
                 self.link(id, |l| l.coming.push(News::Interim));
             }
+            H::Head(id) => {
+                self.left.interims -= 1;
+                self.link(id, |l| l.coming.push(News::Head));
+            }
             H::Reset(id) => {
                 self.left.resets -= 1;
                 self.act(id, false, News::Broken);
@@ -391,7 +398,7 @@
             let how = format!("first sent to {at} at {} ms, the notice came at {told} ms", self.now);
             return Err(Broken { property: Property::Cutoff, how });
         }
-        self.wire(id, Wire::Written(out))
+        self.wire(id, Wire::Progress(out, Heard::Nothing))
     }
 
     fn run(&mut self, id: ConnId) {
--- a/crates/explore/src/world/enabled.rs
+++ b/crates/explore/src/world/enabled.rs
@@ -95,6 +95,7 @@
                         (left.garbles, H::Garble(id)),
                         (left.resets, H::RunReset(id)),
                         (left.interims, H::Interim(id)),
+                        (left.interims, H::Head(id)),
                     ];
                     all.extend(more.into_iter().filter(|(n, _)| *n > 0).map(|(_, h)| h));
                 }
--- a/crates/explore/src/world/node.rs
+++ b/crates/explore/src/world/node.rs
@@ -3,7 +3,7 @@
 use super::{BEHIND_MS, Link, News, Run, Stands, World};
 use crate::property::{Broken, Property};
 use crate::subject::{In, Out, Subject};
-use applemill_ledger::{Cargo, ConnId, Finish, Wire, Written};
+use applemill_ledger::{Cargo, ConnId, Finish, Heard, Wire, Written};
 use birchspoke::interface::{Load, Outcome};
 use std::collections::VecDeque;
 
@@ -109,22 +109,15 @@
             self.links.remove(&id);
         }
         match news {
-            News::Interim => self.wire(id, Wire::Came),
+            News::Interim => self.wire(id, Wire::Progress(Written::Whole, Heard::Begun)),
+            News::Head => self.wire(id, Wire::Progress(Written::Whole, Heard::Headed)),
             News::Broken => self.wire(id, Wire::Broke),
             News::Garbled => {
-                self.wire(id, Wire::Came)?;
+                self.wire(id, Wire::Progress(Written::Whole, Heard::Begun))?;
                 self.wire(id, Wire::Spoilt)
             }
-            News::Served => {
-                self.wire(id, Wire::Came)?;
-                self.wire(id, Wire::Headed)?;
-                self.wire(id, whole(done(Outcome::Done, cargo)))
-            }
-            News::Turned => {
-                self.wire(id, Wire::Came)?;
-                self.wire(id, Wire::Headed)?;
-                self.wire(id, whole(done(Outcome::Full, None)))
-            }
+            News::Served => self.wire(id, whole(done(Outcome::Done, cargo))),
+            News::Turned => self.wire(id, whole(done(Outcome::Full, None))),
         }
     }
 }
--- a/crates/ledger/src/interface.rs
+++ b/crates/ledger/src/interface.rs
@@ -118,13 +118,10 @@
     Unconnected,
     /// A kept one is no good: looked at just before it was to be written on, or in passing.
     Stale,
-    /// Bytes of the request have left.
-    Written(Written),
-    /// The first bytes of an answer are there.
-    Came,
-    /// And its head is whole.
-    Headed,
-    /// And all of it.
+    /// So much of the request has left, and so much of an answer is there. What happened is told before anything else
+    /// can happen.
+    Progress(Written, Heard),
+    /// All of an answer is there.
     Whole {
         /// What it says.
         finish: Finish<R>,
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -104,12 +104,13 @@
 
     fn exchange<R>(&mut self, id: ConnId, mut e: Exchange, wire: Wire<R>, out: &mut Out<O, C, R>) {
         match wire {
-            Wire::Written(written) => e.written = e.written.max(written),
-            Wire::Came => e.heard = e.heard.max(Heard::Begun),
-            Wire::Headed => {
-                e.heard = Heard::Headed;
-                self.timers.clear(e.timer);
-                e.timer = self.timers.set(e.job.until_ms.min(self.now + BODY_MS), Timer::Conn(id));
+            Wire::Progress(written, heard) => {
+                e.written = e.written.max(written);
+                if heard == Heard::Headed && e.heard < Heard::Headed {
+                    self.timers.clear(e.timer);
+                    e.timer = self.timers.set(e.job.until_ms.min(self.now + BODY_MS), Timer::Conn(id));
+                }
+                e.heard = e.heard.max(heard);
             }
             // An answer to what was not asked is none.
             Wire::Whole { finish, again } if e.written > Written::Nothing => {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -209,7 +209,7 @@
             Some(conn) => conn,
             None => Conn::open(at, self.descriptors.take_own(), LIST_BUFFER).await?,
         };
-        let answer = conn.exchange(request, LIST_LIMIT, || {}).await?;
+        let answer = conn.exchange(request, LIST_LIMIT, |_, _| {}).await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()).into());
         }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -7,9 +7,9 @@
 use crate::clock::Clock;
 use crate::log;
 use crate::peers::Peers;
-use crate::socket::{Descriptors, Passed};
+use crate::socket::Descriptors;
 use crate::upstream::{Conn, Failure};
-use applemill_ledger::{Answer, Cargo, ConnId, Effect, Ledger, Limits, Wire, Written};
+use applemill_ledger::{Answer, Cargo, ConnId, Effect, Ledger, Limits, Wire};
 use birchspoke::Balancer;
 use birchspoke::interface::{Reporting, Request, RequestId};
 use std::cell::{Cell, RefCell};
@@ -267,18 +267,10 @@
         let probe = matches!(cargo, Cargo::Probe);
         let report = Report::new(self, conn);
         let task = spawn_local(async move {
-            let watcher = report.driver.clone();
-            open.watch(Some(Box::new(move |passed| {
-                let wire = match passed {
-                    Passed::In => Wire::Came,
-                    Passed::Out => Wire::Written(Written::Part),
-                    Passed::AllOut => Wire::Written(Written::Whole),
-                };
-                watcher.take(Input::Conn(conn, wire));
-            })));
-            let headed = || report.driver.take(Input::Conn(conn, Wire::Headed));
-            let end = open.exchange(request, BODY_LIMIT, headed).await;
-            open.watch(None);
+            let progress = |written, heard| {
+                report.driver.take(Input::Conn(conn, Wire::Progress(written, heard)));
+            };
+            let end = open.exchange(request, BODY_LIMIT, progress).await;
             match end {
                 Ok(answer) => {
                     let dialect = report.driver.dialect;
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -118,32 +118,12 @@
     }
 }
 
-/// What goes through a socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Passed {
-    /// Bytes in.
-    In,
-    /// Bytes out.
-    Out,
-    /// All that was to go out is out.
-    AllOut,
-}
-
-/// Hears what goes through a socket, each kind when it first does.
-pub type Watcher = Box<dyn Fn(Passed)>;
-
-/// Who hears it, and the latest of each direction that was told.
-#[derive(Default)]
-struct Watch {
-    watcher: Option<Watcher>,
-    told_in: bool,
-    told_out: Option<Passed>,
-}
-
 struct Inner {
     stream: TcpStream,
     read: Cell<u64>,
-    watch: RefCell<Watch>,
+    written: Cell<u64>,
+    /// Bytes written when all that was to go out was out.
+    flushed: Cell<u64>,
     _slot: Slot,
 }
 
@@ -156,7 +136,13 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Inner { stream, read: Cell::new(0), watch: RefCell::default(), _slot: slot }))
+        Socket(Rc::new(Inner {
+            stream,
+            read: Cell::new(0),
+            written: Cell::new(0),
+            flushed: Cell::new(0),
+            _slot: slot,
+        }))
     }
 
     /// Bytes read so far.
@@ -164,25 +150,14 @@
         self.0.read.get()
     }
 
-    /// Who hears from now on what goes through; nobody for none.
-    pub fn watch(&self, watcher: Option<Watcher>) {
-        *self.0.watch.borrow_mut() = Watch { watcher, ..Watch::default() };
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.0.written.get()
     }
 
-    fn passed(&self, passed: Passed) {
-        let mut watch = self.0.watch.borrow_mut();
-        let news = match (passed, watch.told_out) {
-            (Passed::In, _) => !std::mem::replace(&mut watch.told_in, true),
-            // Nothing has gone out that could be all.
-            (Passed::AllOut, None) => false,
-            (out, told) => {
-                watch.told_out = Some(out);
-                told != Some(out) && told != Some(Passed::AllOut)
-            }
-        };
-        if let Some(watcher) = watch.watcher.as_ref().filter(|_| news) {
-            watcher(passed);
-        }
+    /// Bytes written when the writer's own buffer was last empty.
+    pub fn flushed(&self) -> u64 {
+        self.0.flushed.get()
     }
 
     /// Reads so many bytes, or to the end, without keeping any.
@@ -218,9 +193,6 @@
                 Ok(n) => {
                     buf.advance(n);
                     self.0.read.set(self.0.read.get() + n as u64);
-                    if n > 0 {
-                        self.passed(Passed::In);
-                    }
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -240,9 +212,7 @@
             ready!(self.0.stream.poll_write_ready(cx))?;
             match write(&self.0.stream) {
                 Ok(n) => {
-                    if n > 0 {
-                        self.passed(Passed::Out);
-                    }
+                    self.0.written.set(self.0.written.get() + n as u64);
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -271,7 +241,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Asked for when the writer's own buffer is empty.
-        self.passed(Passed::AllOut);
+        self.0.flushed.set(self.0.written.get());
         Poll::Ready(Ok(()))
     }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,7 +1,8 @@
 //! A connection to a backend or to discovery, and the exchanges on it, one at a time. Which one carries what, and what
 //! becomes of it, is the ledger's.
 
-use crate::socket::{Slot, Socket, Watcher};
+use crate::socket::{Slot, Socket};
+use applemill_ledger::{Heard, Written};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -9,6 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::error::Error as _;
 use std::future::{Future, poll_fn};
 use std::io::{self, ErrorKind};
@@ -72,8 +74,12 @@
         Ok(Conn { sender, connection: Some(Box::pin(connection)), socket, address })
     }
 
-    /// Runs `wanted` together with the connection's own reading and writing.
-    async fn drive<F: Future>(connection: &mut Option<Driven>, wanted: F) -> F::Output {
+    /// Runs `wanted` together with the connection's own reading and writing. Whenever that has to wait, `waits` hears.
+    async fn drive<F: Future>(
+        connection: &mut Option<Driven>,
+        wanted: F,
+        mut waits: impl FnMut(),
+    ) -> F::Output {
         let mut wanted = pin!(wanted);
         poll_fn(|cx| {
             if let Poll::Ready(value) = wanted.as_mut().poll(cx) {
@@ -82,25 +88,61 @@
             if connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
                 *connection = None;
             }
-            wanted.as_mut().poll(cx)
+            let polled = wanted.as_mut().poll(cx);
+            if polled.is_pending() {
+                waits();
+            }
+            polled
         })
         .await
     }
 
-    /// One request and its whole answer, with a body of `limit` bytes at most; `headed` hears when its head is there.
-    /// The caller bounds the time.
+    /// One request and its whole answer, with a body of `limit` bytes at most. `progress` hears how much has left and
+    /// come before anything else can happen in this process, but for the end of a whole answer. The caller bounds the
+    /// time.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         limit: usize,
-        headed: impl FnOnce(),
+        mut progress: impl FnMut(Written, Heard),
+    ) -> Result<Response<Bytes>, Failure> {
+        let socket = self.socket.clone();
+        let (written, read) = (socket.written(), socket.read());
+        let told = Cell::new((Written::Nothing, Heard::Nothing));
+        let mut tell = |headed: bool| {
+            let left = match socket.written() > written {
+                false => Written::Nothing,
+                true if socket.flushed() < socket.written() => Written::Part,
+                true => Written::Whole,
+            };
+            let heard = match socket.read() > read {
+                _ if headed => Heard::Headed,
+                true => Heard::Begun,
+                false => Heard::Nothing,
+            };
+            if told.replace((left, heard)) != (left, heard) {
+                progress(left, heard);
+            }
+        };
+        let end = self.answer(request, limit, &mut tell).await;
+        // An answer to what was not asked is told as one.
+        if end.is_err() || told.get().0 == Written::Nothing {
+            tell(false);
+        }
+        end
+    }
+
+    async fn answer(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+        tell: &mut impl FnMut(bool),
     ) -> Result<Response<Bytes>, Failure> {
         let sent = self.sender.send_request(request);
-        let (head, body) = Conn::drive(&mut self.connection, sent).await?.into_parts();
+        let (head, body) = Conn::drive(&mut self.connection, sent, || tell(false)).await?.into_parts();
         check(&head.headers, &body, limit)?;
-        headed();
-        let whole = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
-        let body = match whole.await {
+        let whole = Limited::<Incoming>::new(body, limit).collect();
+        let body = match Conn::drive(&mut self.connection, whole, || tell(true)).await {
             Ok(body) => body.to_bytes(),
             Err(e) => return Err(e.downcast::<hyper::Error>().map_or(Failure::Spoilt, |e| (*e).into())),
         };
@@ -116,11 +158,6 @@
         Ok(Response::from_parts(head, body))
     }
 
-    /// Tells what goes through it from now on, up to the next exchange's end.
-    pub fn watch(&self, watcher: Option<Watcher>) {
-        self.socket.watch(watcher);
-    }
-
     /// Open at both ends and with nothing unread, which would be a farewell.
     pub fn alive(&self) -> bool {
         self.connection.is_some() && !self.sender.is_closed() && self.socket.quiet()
--- a/crates/planted/src/edits.rs
+++ b/crates/planted/src/edits.rs
@@ -112,11 +112,7 @@
     },
     Edit {
         name: "what has left the node is not noted",
-        changes: &[(
-            "wire.rs",
-            "Wire::Written(written) => e.written = e.written.max(written),",
-            "Wire::Written(_) => {}",
-        )],
+        changes: &[("wire.rs", "e.written = e.written.max(written);", "let _ = written;")],
         scenarios: &["unsafe-faults"],
     },
     Edit {
