Measure states: sizes, planted bugs with their stories, and one ordering as a chart

The ledger has tests of its own, one with a front that has many calls on one connection; the keyed repeat that left after its key was forgotten has one among the module's.

--- a/crates/birchspoke/tests/behaviour.rs
+++ b/crates/birchspoke/tests/behaviour.rs
@@ -672,6 +672,25 @@
     }
 }
 
+#[test]
+fn a_keyed_repeat_is_given_up_before_its_key_is_forgotten() {
+    let mut s = settings();
+    s.classes[3].key_ttl_ms = 200.0;
+    let mut w = World::with_backends(s, 1, 6);
+    let id = w.ask(3, Some(1));
+    w.wait(50.0);
+    w.end(id, Outcome::Reset);
+    let sends: Vec<f64> = (w.trace.iter())
+        .filter_map(|a| match a {
+            Action::Send { id: of, timeout_ms, .. } if *of == id => Some(*timeout_ms),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sends.len(), 2, "repeated");
+    assert!(sends[1] < 150.0, "it could leave after the 200 ms for which repeats are dropped: {sends:?}");
+    assert!(sends[1] > 100.0, "{sends:?}");
+}
+
 #[test]
 fn idle_connections_to_a_draining_backend_are_closed_at_once_and_after_each_outcome() {
     let mut w = World::with_backends(Settings { drain_close_ms: Some(1500.0), ..settings() }, 1, 1);
--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -1,15 +1,19 @@
 //! Every ordering of what can happen to a small ledger with the real decisions, judged by the world's own record of
 //! what ran where. Sockets and real time are left to the node's own tests; `docs/explorer.md` says what is abstracted.
 
+pub mod chart;
 pub mod property;
 pub mod scenario;
 pub mod search;
 pub mod story;
 pub mod subject;
+pub mod token;
 pub mod world;
 
+pub use chart::chart;
 pub use property::{Broken, Property};
 pub use scenario::Scenario;
 pub use search::{Found, search};
 pub use story::story;
 pub use subject::Subject;
+pub use token::Token;
--- a/crates/explore/src/scenario.rs
+++ b/crates/explore/src/scenario.rs
@@ -303,3 +303,46 @@
         Scenario { name: "three", requests: vec![UNSAFE, KEYED, SAFE], backends: 1, attempts: 1, ..base() },
     ]
 }
+
+/// Those that take minutes.
+pub fn larger() -> Vec<Scenario> {
+    let base = Scenario::default;
+    let none = Faults::default;
+    vec![
+        Scenario {
+            name: "larger-remove-kept",
+            requests: vec![SAFE, UNSAFE],
+            backends: 2,
+            attempts: 2,
+            notices: vec![Notice::Remove],
+            faults: Faults { closes: 1, ..none() },
+            kept: true,
+            ..base()
+        },
+        Scenario {
+            name: "larger-keyed-faults",
+            requests: vec![KEYED],
+            backends: 3,
+            attempts: 3,
+            faults: Faults {
+                leaves: 1,
+                unconnected: 1,
+                resets: 1,
+                parts: 1,
+                refusals: 1,
+                garbles: 1,
+                ..none()
+            },
+            late: true,
+            ..base()
+        },
+        Scenario {
+            name: "larger-three",
+            requests: vec![UNSAFE, KEYED, SAFE],
+            backends: 2,
+            attempts: 1,
+            faults: Faults { resets: 1, ..none() },
+            ..base()
+        },
+    ]
+}
--- a/crates/explore/src/search.rs
+++ b/crates/explore/src/search.rs
@@ -7,7 +7,7 @@
 use crate::property::Broken;
 use crate::scenario::Scenario;
 use crate::subject::Subject;
-use crate::world::{Happening, World};
+use crate::world::World;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hasher};
 
@@ -53,7 +53,10 @@
             let path = path(&steps, step);
             let mut world = start.clone();
             for choice in &path {
-                take(&mut world, *choice);
+                // It has been played before, and broke nothing.
+                if let Some(happening) = world.enabled().get(usize::from(*choice)).copied() {
+                    let _ = world.happen(happening);
+                }
             }
             let enabled = world.enabled();
             if enabled.is_empty() {
@@ -104,9 +107,3 @@
     path.reverse();
     path
 }
-
-/// Takes one of the enabled happenings; none where there are not so many.
-pub fn take<S: Subject>(world: &mut World<'_, S>, choice: u16) -> Option<(Happening, Result<(), Broken>)> {
-    let happening = world.enabled().get(usize::from(choice)).copied()?;
-    Some((happening, world.happen(happening)))
-}
--- a/crates/explore/src/story.rs
+++ b/crates/explore/src/story.rs
@@ -1,7 +1,8 @@
 //! An ordering as a numbered story, for people.
 
+use crate::chart::Role;
+use crate::property::Broken;
 use crate::scenario::Scenario;
-use crate::search::take;
 use crate::subject::{Out, Subject};
 use crate::world::{Happening, World};
 use applemill_ledger::Answer;
@@ -58,34 +59,66 @@
     }
 }
 
-/// An ordering as a story, one line for each happening and, behind it, what the node does; the last line says what was
-/// broken, if anything was.
-pub fn story<S: Subject>(scenario: &Scenario, path: &[u16]) -> Vec<String> {
-    let mut lines = Vec::new();
+/// Who does it, and to whom.
+fn roles<S: Subject>(world: &World<'_, S>, happening: Happening) -> (Role, Role) {
+    use Happening as H;
+    let backend = |id| world.on(id).0.map_or(Role::Node, Role::Backend);
+    match happening {
+        H::Arrive(n) | H::Leave(n) => (Role::Client(n), Role::Node),
+        H::Connect(c) | H::Part(c) | H::Whole(c) => (Role::Node, backend(c)),
+        H::Unconnected(c) | H::Read(c) | H::Behind(c) | H::Reset(c) => (backend(c), Role::Node),
+        H::Serve(c) | H::ServeMore(c) | H::Turn(c) | H::Garble(c) => (backend(c), backend(c)),
+        H::Interim(c) | H::Head(c) | H::RunReset(c) | H::CloseIdle(c) => (backend(c), backend(c)),
+        H::Ends => (Role::Backend(0), Role::Backend(0)),
+        H::Descriptor(_) | H::Notice | H::Stop | H::Pass | H::Due => (Role::Node, Role::Node),
+    }
+}
+
+/// One happening of a story.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// What happened.
+    pub sentence: String,
+    /// Who did it.
+    pub from: Role,
+    /// To whom.
+    pub to: Role,
+    /// What the node did at that.
+    pub said: Vec<String>,
+}
+
+/// Plays an ordering, and tells what happened and what was broken, if anything was.
+pub fn tell<S: Subject>(scenario: &Scenario, path: &[u16]) -> (Vec<Told>, Option<Broken>) {
+    let mut told = Vec::new();
     let mut world = match World::<S>::new(scenario) {
         Ok(world) => world,
-        Err(broken) => return vec![broken.to_string()],
+        Err(broken) => return (told, Some(broken)),
     };
     world.telling = true;
-    for (choice, number) in path.iter().zip(1..) {
+    for choice in path {
         let Some(happening) = world.enabled().get(usize::from(*choice)).copied() else { break };
-        let line = sentence(&world, happening);
-        let Some((_, end)) = take(&mut world, *choice) else { break };
-        let mut line = format!("{number}. {line}");
-        for said in &world.said {
-            line.push_str("; ");
-            line.push_str(said);
-        }
-        lines.push(line);
+        let (sentence, (from, to)) = (sentence(&world, happening), roles(&world, happening));
+        let end = world.happen(happening);
+        told.push(Told { sentence, from, to, said: world.said.clone() });
         if let Err(broken) = end {
-            lines.push(broken.to_string());
-            return lines;
+            return (told, Some(broken));
         }
     }
-    if world.enabled().is_empty()
-        && let Err(broken) = world.judge_end()
-    {
-        lines.push(broken.to_string());
-    }
-    lines
+    let end = if world.enabled().is_empty() { world.judge_end().err() } else { None };
+    (told, end)
+}
+
+/// An ordering as a story, one line for each happening and what the node does at it; the last line says what was broken,
+/// if anything was.
+pub fn story<S: Subject>(scenario: &Scenario, path: &[u16]) -> Vec<String> {
+    let (told, broken) = tell::<S>(scenario, path);
+    let line = |(told, number): (Told, usize)| {
+        let mut line = format!("{number}. {}", told.sentence);
+        for said in &told.said {
+            line.push_str("; ");
+            line.push_str(said);
+        }
+        line
+    };
+    told.into_iter().zip(1..).map(line).chain(broken.map(|b| b.to_string())).collect()
 }
--- /dev/null
+++ b/crates/ledger/tests/ledger.rs
@@ -0,0 +1,239 @@
+//! The ledger by itself: one happening after another. What orderings of them come to is the explorer's matter.
+
+use applemill_ledger::{
+    Answer, Cargo, ConnId, Effect, Finish, Heard, Input, Ledger, Limits, Sums, Target, Wire, Written,
+};
+use birchspoke::Balancer;
+use birchspoke::interface::{BackendId, Entry, Health, ListKind, Load, Outcome, Request, RequestId};
+use birchspoke::wire;
+use std::net::SocketAddr;
+
+/// What a front with many calls on one connection owes: which connection, and the call's number there.
+type Owed = (u32, u32);
+type Out = Effect<Owed, &'static str, &'static str>;
+
+struct Rig {
+    ledger: Ledger<Owed, &'static str>,
+    now: f64,
+}
+
+fn at(last: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, last], 80))
+}
+
+fn line(backend: u64, address: SocketAddr, health: Health) -> Target {
+    let entry =
+        Entry { backend: BackendId(backend), zone: 0, cell: 0, health, units: 1.0, ready_at_ms: 0.0 };
+    Target { entry, address: Some(address) }
+}
+
+impl Rig {
+    /// Class 0 is safe to repeat, class 1 is not; one backend is up.
+    fn new() -> Rig {
+        let settings = r#"{"classes": [
+            {"name": "page", "semantics": "idempotent", "objectiveMs": 400, "hardLimitMs": 400},
+            {"name": "bid", "semantics": "at_most_once", "objectiveMs": 400, "hardLimitMs": 400}],
+            "limits": {"attemptsCap": 3, "mayCancel": true, "connIdleMs": 1000, "connectTimeoutMs": 100},
+            "rules": {"coldMs": 0, "startCapacity": 1, "fallMultiple": 2, "fallMs": 600000, "drainGraceMs": 100, "mustAskInMs": 10000}}"#;
+        let (settings, _) = wire::settings(settings).unwrap();
+        let limits = Limits { connect_ms: 100.0, idle_ms: 1000.0 };
+        let mut rig = Rig { ledger: Ledger::new(Balancer::new(settings, 1).unwrap(), limits), now: 1000.0 };
+        rig.take(Input::Start);
+        rig.list(vec![line(1, at(1), Health::Up)]);
+        rig
+    }
+
+    fn take(&mut self, input: Input<Owed, &'static str, &'static str>) -> Vec<Out> {
+        let mut out = Vec::new();
+        self.ledger.handle(self.now, input, &mut out);
+        out.retain(|e| !matches!(e, Effect::Log(_) | Effect::Watch(_)));
+        out
+    }
+
+    fn list(&mut self, lines: Vec<Target>) -> Vec<Out> {
+        self.take(Input::List(ListKind::Changes, lines))
+    }
+
+    fn ask(&mut self, id: u64, class: usize) -> Vec<Out> {
+        let request = Request {
+            id: RequestId(id),
+            class,
+            tenant: None,
+            key: Some(id),
+            deadline_ms: self.now + 396.0,
+            effort_ms: None,
+            retry: false,
+        };
+        let owed = (7, id as u32);
+        self.take(Input::Arrived { request, expires_ms: self.now + 399.0, call: "call", owed })
+    }
+
+    fn wire(&mut self, conn: u64, wire: Wire<&'static str>) -> Vec<Out> {
+        self.take(Input::Conn(ConnId(conn), wire))
+    }
+
+    fn connect(&mut self, conn: u64) -> Vec<Out> {
+        assert_eq!(self.wire(conn, Wire::Dialling), []);
+        self.wire(conn, Wire::Connected)
+    }
+
+    fn serve(&mut self, conn: u64, again: bool) -> Vec<Out> {
+        assert_eq!(self.wire(conn, Wire::Progress(Written::Whole, Heard::Nothing)), []);
+        let finish = Finish { outcome: Outcome::Done, reply: Some("reply"), load: Load::default() };
+        self.wire(conn, Wire::Whole { finish, again })
+    }
+
+    fn due(&mut self) -> Vec<Out> {
+        self.now = self.ledger.next_due_ms().unwrap();
+        self.take(Input::Due)
+    }
+}
+
+fn send(conn: u64, kept: bool) -> impl Fn(&Out) -> bool {
+    move |e| {
+        matches!(e, Effect::Send { conn: c, cargo: Cargo::Call("call"), kept: k, .. }
+            if (*c, *k) == (ConnId(conn), kept))
+    }
+}
+
+fn answers(out: &[Out]) -> Vec<(Owed, Answer<&'static str>)> {
+    let answer = |e: &Out| match e {
+        Effect::Answer(owed, answer) => Some((*owed, answer.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn calls_of_one_connection_are_answered_as_they_come_in_any_order() {
+    let mut rig = Rig::new();
+    for id in 0..3 {
+        assert_eq!(rig.ask(id, 0), [Effect::Dial(ConnId(id), at(1))]);
+        assert!(send(id, false)(&rig.connect(id)[0]));
+    }
+    for id in [2, 0, 1] {
+        assert_eq!(answers(&rig.serve(id, true)), [((7, id as u32), Answer::Served("reply"))]);
+    }
+    assert_eq!(rig.ledger.sums(), Sums { requests: 0, busy: 0, kept: 3, timers: 0 });
+}
+
+#[test]
+fn a_kept_connection_waits_until_it_is_quiet_and_goes_to_the_next_when_it_is_stale() {
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    rig.connect(0);
+    rig.serve(0, true);
+    assert_eq!(rig.ask(1, 1), [Effect::Dial(ConnId(1), at(1))], "not quiet for long enough");
+    rig.connect(1);
+    rig.now += 1.0;
+    rig.serve(1, true);
+    rig.now += 20.0;
+    let out = rig.ask(2, 1);
+    assert!(send(1, true)(&out[0]), "the youngest: {out:?}");
+    let out = rig.wire(1, Wire::Stale);
+    assert_eq!(out[0], Effect::Close(ConnId(1)));
+    assert!(send(0, true)(&out[1]), "nothing was written on it: {out:?}");
+    let out = rig.wire(0, Wire::Stale);
+    assert_eq!(out, [Effect::Close(ConnId(0)), Effect::Dial(ConnId(2), at(1))]);
+}
+
+#[test]
+fn what_is_kept_goes_by_age_by_want_of_descriptors_and_by_release() {
+    let mut rig = Rig::new();
+    for id in 0..3 {
+        rig.ask(id, 0);
+        rig.connect(id);
+        rig.now += 1.0;
+        rig.serve(id, true);
+    }
+    assert_eq!(rig.take(Input::Reclaim), [Effect::Close(ConnId(0))], "the oldest");
+    rig.now += 699.0;
+    assert_eq!(rig.take(Input::Sweep), [Effect::Close(ConnId(1))], "0.7 of the time told");
+    assert_eq!(rig.list(vec![line(1, at(1), Health::Draining)]), [Effect::Close(ConnId(2))]);
+    assert_eq!(rig.ledger.sums(), Sums::default());
+    assert!(!rig.ledger.ready());
+}
+
+#[test]
+fn a_notice_cuts_off_what_has_not_left_and_leaves_the_rest() {
+    for health in [Health::Draining, Health::Gone] {
+        let mut rig = Rig::new();
+        rig.ask(0, 1);
+        rig.ask(1, 1);
+        rig.connect(1);
+        rig.wire(1, Wire::Progress(Written::Part, Heard::Nothing));
+        let out = rig.list(vec![line(1, at(1), health)]);
+        assert_eq!(out[0], Effect::Close(ConnId(0)));
+        assert!(matches!(answers(&out)[..], [((7, 0), Answer::Refused { .. })]), "at once: {out:?}");
+        assert_eq!(answers(&rig.serve(1, true)), [((7, 1), Answer::Served("reply"))]);
+        assert_eq!(rig.ledger.sums(), Sums::default(), "and its connection is not kept");
+    }
+}
+
+#[test]
+fn what_has_not_left_follows_its_backend() {
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    rig.connect(0);
+    let out = rig.list(vec![line(1, at(2), Health::Up)]);
+    assert_eq!(out, [Effect::Close(ConnId(0)), Effect::Dial(ConnId(1), at(2))]);
+    rig.connect(1);
+    assert_eq!(answers(&rig.serve(1, false)).len(), 1);
+}
+
+#[test]
+fn each_wait_has_its_end() {
+    let mut rig = Rig::new();
+    rig.ask(0, 0);
+    let out = rig.due();
+    assert!(matches!(answers(&out)[..], [(_, Answer::Refused { .. })]), "no descriptor: {out:?}");
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    let out = rig.wire(0, Wire::NoDescriptor);
+    assert!(matches!(answers(&out)[..], [(_, Answer::Refused { .. })]), "none to be had: {out:?}");
+    let mut rig = Rig::new();
+    rig.ask(0, 0);
+    rig.wire(0, Wire::Dialling);
+    assert!(matches!(answers(&rig.due())[..], [(_, Answer::Refused { .. })]), "no handshake");
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    rig.connect(0);
+    rig.wire(0, Wire::Progress(Written::Whole, Heard::Headed));
+    let begun = rig.now;
+    let out = rig.due();
+    assert_eq!(out, [Effect::Close(ConnId(0)), Effect::Answer((7, 0), Answer::Failed)], "no body");
+    assert_eq!(rig.now - begun, 100.0);
+    assert_eq!(rig.ledger.sums(), Sums::default());
+}
+
+#[test]
+fn what_is_heard_of_a_closed_connection_counts_for_nothing() {
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    rig.connect(0);
+    assert_eq!(rig.take(Input::Left(RequestId(0)))[1..], [Effect::Close(ConnId(0))]);
+    assert_eq!(rig.serve(0, true), []);
+    assert_eq!(rig.wire(0, Wire::Broke), []);
+    assert_eq!(rig.ledger.sums(), Sums::default());
+}
+
+#[test]
+fn an_answer_to_what_was_not_sent_is_none() {
+    let mut rig = Rig::new();
+    rig.ask(0, 1);
+    rig.connect(0);
+    let finish = Finish { outcome: Outcome::Done, reply: Some("early"), load: Load::default() };
+    let out = rig.wire(0, Wire::Whole { finish, again: true });
+    assert!(matches!(answers(&out)[..], [(_, Answer::Refused { .. })]), "it never ran: {out:?}");
+}
+
+#[test]
+fn after_a_stop_nothing_goes_on_and_what_comes_is_refused() {
+    let mut rig = Rig::new();
+    rig.ask(0, 0);
+    rig.ask(1, 0);
+    rig.connect(1);
+    assert_eq!(answers(&rig.take(Input::Stop)), [((7, 0), Answer::Failed), ((7, 1), Answer::Failed)]);
+    assert_eq!(rig.ledger.sums(), Sums::default());
+    assert_eq!(answers(&rig.ask(2, 0)), [((7, 2), Answer::Refused { retry_after_ms: 0.0 })]);
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,8 +3,10 @@
 //! again as one, so that one build has all.
 
 mod routes;
+mod states;
 
 use clap::{Parser, ValueEnum};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Set for a process that is to be a node.
@@ -15,7 +17,14 @@
 #[command(name = "applemill-measure", version)]
 struct Cli {
     /// What to measure.
-    name: Name,
+    #[arg(required_unless_present = "story")]
+    name: Option<Name>,
+    /// Tell one of the explorer's orderings instead, by its token.
+    #[arg(long, value_name = "TOKEN", conflicts_with = "name")]
+    story: Option<String>,
+    /// And draw it as a sequence chart.
+    #[arg(long, value_name = "FILE", requires = "story")]
+    svg: Option<PathBuf>,
     /// How large: 1 takes seconds; 10 is the full size.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100))]
     scale: u32,
@@ -25,6 +34,8 @@
 enum Name {
     /// Routes: time of a lookup, cost of a request, bids through faults.
     Routes,
+    /// States: every ordering of small worlds round the ledger, and the bugs planted for it.
+    States,
 }
 
 fn main() -> ExitCode {
@@ -33,8 +44,18 @@
         return applemill::main();
     }
     let cli = Cli::parse();
-    let measured = match cli.name {
-        Name::Routes => routes::measure(cli.scale),
+    let measured = match (cli.name, cli.story) {
+        (Some(Name::Routes), _) => routes::measure(cli.scale),
+        (Some(Name::States), _) => states::measure(cli.scale),
+        (None, token) => {
+            return match states::tell(&token.unwrap_or_default(), cli.svg) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("applemill-measure: {e}");
+                    ExitCode::from(2)
+                }
+            };
+        }
     };
     match measured {
         Ok(report) => {
--- /dev/null
+++ b/crates/measure/src/states.rs
@@ -0,0 +1,126 @@
+//! `states`: every ordering of the explorer's scenarios, and the bugs that are planted for it; `story`: one ordering,
+//! for people.
+
+use applemill_explore::{Found, Scenario, Token, scenario, search, story};
+use applemill_ledger::Ledger;
+use applemill_planted::{EDITS, discover, play};
+use serde_json::{Value, json};
+use std::error::Error;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+/// Worlds of one scenario that are looked at by scale; the scenarios of the tests take under a third of it.
+const MOST: u64 = 1_000_000;
+
+/// Explores all, in as many threads as there are cores.
+pub fn measure(scale: u32) -> Result<Value, Box<dyn Error>> {
+    let most = MOST * u64::from(scale);
+    let mut scenarios = scenario::all();
+    if scale > 1 {
+        scenarios.extend(scenario::larger());
+    }
+    let found = each(&scenarios, |scenario| {
+        let found = search::<Ledger<usize, usize>>(scenario, most);
+        eprintln!(
+            "{}: {} worlds, {} happenings, complete: {}",
+            scenario.name, found.states, found.depth, found.complete
+        );
+        found
+    });
+    let mut broken = 0;
+    for (scenario, found) in scenarios.iter().zip(&found) {
+        if let Some((path, what)) = &found.broken {
+            broken += 1;
+            let told = story::<Ledger<usize, usize>>(scenario, path).join("\n  ");
+            eprintln!("{what}\n  {told}\n  {}", Token { scenario: scenario.clone(), path: path.clone() });
+        }
+    }
+    let bugs: Vec<usize> = (0..EDITS.len()).collect();
+    let discovered = each(&bugs, |number| discover(*number, most));
+    let planted: Vec<Value> = (EDITS.iter().zip(&discovered).zip(0..))
+        .map(|((edit, found), number): (_, usize)| match found {
+            Some(d) => {
+                eprintln!("found: {}, {} happenings", edit.name, d.token.path.len());
+                json!({"bug": edit.name, "story": d.token.path.len(), "token": format!("{number}/{}", d.token)})
+            }
+            None => {
+                eprintln!("NOT found: {}", edit.name);
+                json!({"bug": edit.name, "story": null, "token": null})
+            }
+        })
+        .collect();
+    let planted_found = discovered.iter().flatten().count();
+    let complete = found.iter().all(|f| f.complete);
+    let kept = broken == 0 && complete && planted_found == EDITS.len();
+    Ok(json!({
+        "measurement": "states",
+        "sizes": scenarios.iter().zip(&found).map(size).collect::<Vec<_>>(),
+        "properties_broken": broken,
+        "planted": EDITS.len(),
+        "planted_found": planted_found,
+        "stories": planted,
+        "kept": kept,
+    }))
+}
+
+fn size((scenario, found): (&Scenario, &Found)) -> Value {
+    json!({
+        "name": scenario.name,
+        "requests": scenario.requests.len(),
+        "backends": scenario.backends,
+        "attempts": scenario.attempts,
+        "states": found.states,
+        // More than a JSON number holds exactly.
+        "orderings": found.orderings.to_string(),
+        "depth": found.depth,
+        "complete": found.complete,
+    })
+}
+
+/// Does the same for each, side by side, and keeps their order.
+fn each<T: Sync, R: Send>(all: &[T], work: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..thread::available_parallelism().map_or(1, usize::from) {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(one) = all.get(number) else { return };
+                    let result = work(one);
+                    if let Ok(mut done) = done.lock() {
+                        done.push((number, result));
+                    }
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(number, _)| *number);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Tells an ordering by its token, `SCENARIO:0.2.1`, or `BUG/SCENARIO:0.2.1` with a planted bug by its number, and draws
+/// it where a file is named.
+pub fn tell(token: &str, svg: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+    let (bug, token) = match token.split_once('/') {
+        Some((bug, token)) => {
+            let number: Option<usize> = bug.parse().ok().filter(|n| *n < EDITS.len());
+            let number =
+                number.ok_or_else(|| format!("'{bug}' is no bug: 0 to {} are", EDITS.len() - 1))?;
+            (Some(number), token)
+        }
+        None => (None, token),
+    };
+    let (told, chart) = play(bug, &token.parse::<Token>()?);
+    if let Some(edit) = bug.and_then(|n| EDITS.get(n)) {
+        println!("with a bug planted: {}", edit.name);
+    }
+    println!("{}", told.join("\n"));
+    if let Some(file) = svg {
+        std::fs::write(&file, chart).map_err(|e| format!("{}: {e}", file.display()))?;
+        eprintln!("drawn in {}", file.display());
+    }
+    Ok(())
+}
--- a/crates/planted/src/lib.rs
+++ b/crates/planted/src/lib.rs
@@ -6,7 +6,8 @@
 }
 mod edits;
 
-use applemill_explore::{Found, Scenario, scenario};
+use applemill_explore::{Found, Scenario, Token, scenario};
+use applemill_ledger::Ledger;
 pub use edits::{EDITS, Edit};
 
 /// How a planted bug was found.
@@ -16,7 +17,9 @@
     pub scenario: &'static str,
     /// What was looked at until then.
     pub found: Found,
-    /// The shortest ordering that shows it, as a story.
+    /// The shortest ordering that shows it.
+    pub token: Token,
+    /// The same as a story.
     pub story: Vec<String>,
 }
 
@@ -32,5 +35,18 @@
     let found = copies::search(number, scenario, most)?;
     let (path, _) = found.broken.as_ref()?;
     let story = copies::story(number, scenario, path);
-    Some(Discovery { scenario: scenario.name, found, story })
+    let token = Token { scenario: scenario.clone(), path: path.clone() };
+    Some(Discovery { scenario: scenario.name, found, token, story })
+}
+
+/// An ordering as a story and as a chart: on the ledger as it is, or with a planted bug, by its place in [`EDITS`].
+pub fn play(bug: Option<usize>, token: &Token) -> (Vec<String>, String) {
+    let Token { scenario, path } = token;
+    match bug {
+        Some(number) => (copies::story(number, scenario, path), copies::chart(number, scenario, path)),
+        None => (
+            applemill_explore::story::<Ledger<usize, usize>>(scenario, path),
+            applemill_explore::chart::<Ledger<usize, usize>>(scenario, path),
+        ),
+    }
 }
