--- a/crates/explore/src/chart.rs
+++ b/crates/explore/src/chart.rs
@@ -5,7 +5,7 @@
 use crate::subject::Subject;
 use std::fmt::Write as _;
 
-const COLUMN: usize = 190;
+const COLUMN: usize = 300;
 const ROW: usize = 34;
 const TOP: usize = 60;
 
--- a/crates/ledger/src/interface.rs
+++ b/crates/ledger/src/interface.rs
@@ -91,7 +91,7 @@
     Left(RequestId),
     /// Something happened on a connection. Of one that the ledger has closed nothing is heard any more.
     Conn(ConnId, Wire<R>),
-    /// [`Ledger::next_due_ms`] has come.
+    /// [`next_due_ms`](crate::Ledger::next_due_ms) has come.
     Due,
     /// Another node's message.
     Message(u32, Vec<u8>),
