Explore a ledger behind a trait object: one search, not one for each planted bug

The subject is an object now, so only the ledger's own code is there for each bug, and World is no longer generic.

--- a/crates/explore/src/chart.rs
+++ b/crates/explore/src/chart.rs
@@ -2,7 +2,7 @@
 
 use crate::scenario::Scenario;
 use crate::story::{Told, tell};
-use crate::subject::Subject;
+use crate::subject::Make;
 use std::fmt::Write as _;
 
 const COLUMN: usize = 300;
@@ -25,7 +25,7 @@
 }
 
 /// The chart, as SVG.
-pub fn chart<S: Subject>(scenario: &Scenario, path: &[u16]) -> String {
+pub fn chart(make: Make, scenario: &Scenario, path: &[u16]) -> String {
     let clients = scenario.requests.len();
     let column = |role: Role| match role {
         Role::Client(n) => n,
@@ -33,7 +33,7 @@
         Role::Backend(b) => clients + 1 + b,
     };
     let x = |role: Role| COLUMN / 2 + COLUMN * column(role);
-    let (told, broken) = tell::<S>(scenario, path);
+    let (told, broken) = tell(make, scenario, path);
     let rows: usize = told.iter().map(|t| 1 + t.said.len()).sum();
     let (width, height) = (COLUMN * (clients + 1 + scenario.backends), TOP + ROW * (rows + 2));
     let mut svg = format!(
--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -15,5 +15,5 @@
 pub use scenario::Scenario;
 pub use search::{Found, search};
 pub use story::story;
-pub use subject::Subject;
+pub use subject::{Make, Subject, make};
 pub use token::Token;
--- a/crates/explore/src/search.rs
+++ b/crates/explore/src/search.rs
@@ -6,7 +6,7 @@
 
 use crate::property::Broken;
 use crate::scenario::Scenario;
-use crate::subject::Subject;
+use crate::subject::Make;
 use crate::world::World;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hasher};
@@ -34,9 +34,9 @@
 }
 
 /// Looks at all orderings, or at so many worlds.
-pub fn search<S: Subject>(scenario: &Scenario, most: u64) -> Found {
+pub fn search(make: Make, scenario: &Scenario, most: u64) -> Found {
     let mut found = Found { states: 1, orderings: 0, depth: 0, complete: false, broken: None };
-    let start = match World::<S>::new(scenario) {
+    let start = match World::new(make, scenario) {
         Ok(world) => world,
         Err(broken) => {
             found.broken = Some((Vec::new(), broken));
--- a/crates/explore/src/story.rs
+++ b/crates/explore/src/story.rs
@@ -3,7 +3,7 @@
 use crate::chart::Role;
 use crate::property::Broken;
 use crate::scenario::Scenario;
-use crate::subject::{Out, Subject};
+use crate::subject::{Make, Out};
 use crate::world::{Happening, World};
 use applemill_ledger::Answer;
 
@@ -25,7 +25,7 @@
     })
 }
 
-fn sentence<S: Subject>(world: &World<'_, S>, happening: Happening) -> String {
+fn sentence(world: &World<'_>, happening: Happening) -> String {
     use Happening as H;
     let backend = |id| world.on(id).0.map_or("a backend".to_owned(), |b| format!("backend {b}"));
     let whose =
@@ -60,7 +60,7 @@
 }
 
 /// Who does it, and to whom.
-fn roles<S: Subject>(world: &World<'_, S>, happening: Happening) -> (Role, Role) {
+fn roles(world: &World<'_>, happening: Happening) -> (Role, Role) {
     use Happening as H;
     let backend = |id| world.on(id).0.map_or(Role::Node, Role::Backend);
     match happening {
@@ -88,9 +88,9 @@
 }
 
 /// Plays an ordering, and tells what happened and what was broken, if anything was.
-pub fn tell<S: Subject>(scenario: &Scenario, path: &[u16]) -> (Vec<Told>, Option<Broken>) {
+pub fn tell(make: Make, scenario: &Scenario, path: &[u16]) -> (Vec<Told>, Option<Broken>) {
     let mut told = Vec::new();
-    let mut world = match World::<S>::new(scenario) {
+    let mut world = match World::new(make, scenario) {
         Ok(world) => world,
         Err(broken) => return (told, Some(broken)),
     };
@@ -110,8 +110,8 @@
 
 /// An ordering as a story, one line for each happening and what the node does at it; the last line says what was broken,
 /// if anything was.
-pub fn story<S: Subject>(scenario: &Scenario, path: &[u16]) -> Vec<String> {
-    let (told, broken) = tell::<S>(scenario, path);
+pub fn story(make: Make, scenario: &Scenario, path: &[u16]) -> Vec<String> {
+    let (told, broken) = tell(make, scenario, path);
     let line = |(told, number): (Told, usize)| {
         let mut line = format!("{number}. {}", told.sentence);
         for said in &told.said {
--- a/crates/explore/src/subject.rs
+++ b/crates/explore/src/subject.rs
@@ -16,9 +16,9 @@
 pub type Out = Effect<Owed, Call, Reply>;
 
 /// A ledger, of whatever make.
-pub trait Subject: Clone {
-    /// One that has heard nothing yet.
-    fn start(balancer: Balancer, limits: Limits) -> Self;
+pub trait Subject {
+    /// Another one just like it.
+    fn copy(&self) -> Box<dyn Subject>;
     /// Takes one input.
     fn take(&mut self, now: f64, input: In, out: &mut Vec<Out>);
     /// When its next timer is due.
@@ -26,16 +26,25 @@
     /// What it holds.
     fn held(&self) -> Sums;
     /// All that tells it from another, decisions and all.
-    fn hash(&self, state: &mut dyn Hasher);
+    fn digest(&self, state: &mut dyn Hasher);
 }
 
-/// Says how a type with the ledger's methods is a subject.
+impl Clone for Box<dyn Subject> {
+    fn clone(&self) -> Box<dyn Subject> {
+        self.as_ref().copy()
+    }
+}
+
+/// Makes one that has heard nothing yet.
+pub type Make = fn(Balancer, Limits) -> Box<dyn Subject>;
+
+/// Says how a type with the ledger's methods is a subject, and how it is made.
 #[macro_export]
 macro_rules! subject {
     ($ledger:ty) => {
         impl $crate::subject::Subject for $ledger {
-            fn start(balancer: birchspoke::Balancer, limits: applemill_ledger::Limits) -> Self {
-                Self::new(balancer, limits)
+            fn copy(&self) -> Box<dyn $crate::subject::Subject> {
+                Box::new(self.clone())
             }
 
             fn take(&mut self, now: f64, input: $crate::subject::In, out: &mut Vec<$crate::subject::Out>) {
@@ -50,10 +59,18 @@
                 self.sums()
             }
 
-            fn hash(&self, state: &mut dyn std::hash::Hasher) {
+            fn digest(&self, state: &mut dyn std::hash::Hasher) {
                 self.digest(&mut { state });
             }
         }
+
+        /// A subject of this make.
+        pub fn make(
+            balancer: birchspoke::Balancer,
+            limits: applemill_ledger::Limits,
+        ) -> Box<dyn $crate::subject::Subject> {
+            Box::new(<$ledger>::new(balancer, limits))
+        }
     };
 }
 
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -7,7 +7,7 @@
 
 use crate::property::{Broken, Property};
 use crate::scenario::{Faults, GRACE_MS, LAST_MARGIN_MS, MARGIN_MS, Notice, PATIENCE_MS, Scenario};
-use crate::subject::{In, Reply, Subject};
+use crate::subject::{In, Make, Reply, Subject};
 use applemill_ledger::{ConnId, Heard, Limits, Target, Wire, Written};
 use birchspoke::Balancer;
 use birchspoke::interface::{BackendId, Effect as Repeats, Entry, Health, ListKind, Request, RequestId};
@@ -155,9 +155,9 @@
 
 /// A ledger and all that is round it.
 #[derive(Clone)]
-pub struct World<'s, S> {
+pub struct World<'s> {
     scenario: &'s Scenario,
-    subject: S,
+    subject: Box<dyn Subject>,
     now: f64,
     clients: Vec<Client>,
     links: BTreeMap<ConnId, Link>,
@@ -196,12 +196,12 @@
     Target { entry, address: Some(address) }
 }
 
-impl<'s, S: Subject> World<'s, S> {
+impl<'s> World<'s> {
     /// A node that has heard of its backends, with a kept connection to each where the scenario says so.
     ///
     /// # Errors
     /// The settings are none, or the start itself breaks a property.
-    pub fn new(scenario: &'s Scenario) -> Result<World<'s, S>, Broken> {
+    pub fn new(make: Make, scenario: &'s Scenario) -> Result<World<'s>, Broken> {
         let settings = scenario.settings();
         let limits = Limits { connect_ms: settings.connect_timeout_ms, idle_ms: settings.conn_idle_ms };
         let balancer = Balancer::new(settings, SEED)
@@ -210,7 +210,7 @@
         let all = addresses.iter().enumerate().map(|(b, at)| target(b, *at, Health::Up, 0.0)).collect();
         let mut world = World {
             scenario,
-            subject: S::start(balancer, limits),
+            subject: make(balancer, limits),
             now: 0.0,
             clients: vec![Client::default(); scenario.requests.len()],
             links: BTreeMap::new(),
@@ -458,7 +458,7 @@
     /// All that tells this world from another: two with the same hash are held for one.
     pub fn digest(&self, state: &mut dyn Hasher) {
         let mut state = state;
-        self.subject.hash(state);
+        self.subject.digest(state);
         let state = &mut state;
         self.now.to_bits().hash(state);
         (&self.clients, &self.links, &self.addresses, self.notices, self.ended).hash(state);
--- a/crates/explore/src/world/enabled.rs
+++ b/crates/explore/src/world/enabled.rs
@@ -2,7 +2,6 @@
 
 use super::{BEHIND_MS, Client, Happening, Link, Stands, World};
 use crate::scenario::Notice;
-use crate::subject::Subject;
 use applemill_ledger::{ConnId, Written};
 
 /// A timer may be handed in so late, while other things go first. Less than the ledger's margin for it.
@@ -12,7 +11,7 @@
 /// Nothing falls due later that matters.
 const HORIZON_MS: f64 = 10_000.0;
 
-impl<S: Subject> World<'_, S> {
+impl World<'_> {
     /// The moment to which time goes on; none where nothing waits for it.
     pub(super) fn next_moment(&self) -> Option<f64> {
         let due = self.subject.due_ms().filter(|due| *due < HORIZON_MS);
--- a/crates/explore/src/world/judge.rs
+++ b/crates/explore/src/world/judge.rs
@@ -3,11 +3,11 @@
 use super::{Client, Given, Link, Run, Stands, World};
 use crate::property::{Broken, Property};
 use crate::scenario::KEY_MS;
-use crate::subject::{Reply, Subject};
+use crate::subject::Reply;
 use applemill_ledger::Answer;
 use birchspoke::interface::Effect as Repeats;
 
-impl<S: Subject> World<'_, S> {
+impl World<'_> {
     pub(super) fn answered(&mut self, n: usize, answer: &Answer<Reply>) -> Result<(), Broken> {
         let Some(client) = self.clients.get_mut(n) else { return Ok(()) };
         if client.given.is_some() {
--- a/crates/explore/src/world/node.rs
+++ b/crates/explore/src/world/node.rs
@@ -2,12 +2,12 @@
 
 use super::{BEHIND_MS, Link, News, Run, Stands, World};
 use crate::property::{Broken, Property};
-use crate::subject::{In, Out, Subject};
+use crate::subject::{In, Out};
 use applemill_ledger::{Cargo, ConnId, Finish, Heard, Wire, Written};
 use birchspoke::interface::{Load, Outcome};
 use std::collections::VecDeque;
 
-impl<S: Subject> World<'_, S> {
+impl World<'_> {
     /// Hands in one input and carries out what is said, as the node does.
     pub(super) fn hand_in(&mut self, input: In) -> Result<(), Broken> {
         let mut out = Vec::new();
--- a/crates/explore/tests/orderings.rs
+++ b/crates/explore/tests/orderings.rs
@@ -1,7 +1,6 @@
 //! Every size of the list, explored to its end.
 
-use applemill_explore::{Scenario, scenario, search, story};
-use applemill_ledger::Ledger;
+use applemill_explore::{Scenario, make, scenario, search, story};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
@@ -9,9 +8,9 @@
 const MOST: u64 = 2_000_000;
 
 fn explore(scenario: &Scenario) {
-    let found = search::<Ledger<usize, usize>>(scenario, MOST);
+    let found = search(make, scenario, MOST);
     if let Some((path, broken)) = &found.broken {
-        let story = story::<Ledger<usize, usize>>(scenario, path).join("\n");
+        let story = story(make, scenario, path).join("\n");
         panic!("{}: {broken}\n{story}", scenario.name);
     }
     assert!(found.complete, "{}: more than {MOST} worlds", scenario.name);
--- a/crates/measure/src/states.rs
+++ b/crates/measure/src/states.rs
@@ -1,8 +1,7 @@
 //! `states`: every ordering of the explorer's scenarios, and the bugs that are planted for it; `story`: one ordering,
 //! for people.
 
-use applemill_explore::{Found, Scenario, Token, scenario, search, story};
-use applemill_ledger::Ledger;
+use applemill_explore::{Found, Scenario, Token, make, scenario, search, story};
 use applemill_planted::{EDITS, discover, play};
 use serde_json::{Value, json};
 use std::error::Error;
@@ -22,7 +21,7 @@
         scenarios.extend(scenario::larger());
     }
     let found = each(&scenarios, |scenario| {
-        let found = search::<Ledger<usize, usize>>(scenario, most);
+        let found = search(make, scenario, most);
         eprintln!(
             "{}: {} worlds, {} happenings, complete: {}",
             scenario.name, found.states, found.depth, found.complete
@@ -33,7 +32,7 @@
     for (scenario, found) in scenarios.iter().zip(&found) {
         if let Some((path, what)) = &found.broken {
             broken += 1;
-            let told = story::<Ledger<usize, usize>>(scenario, path).join("\n  ");
+            let told = story(make, scenario, path).join("\n  ");
             eprintln!("{what}\n  {told}\n  {}", Token { scenario: scenario.clone(), path: path.clone() });
         }
     }
--- a/crates/planted/build.rs
+++ b/crates/planted/build.rs
@@ -37,29 +37,9 @@
         }
         writeln!(text, "applemill_explore::subject!(ledger::Ledger<usize, usize>);\n}}")?;
     }
-    let mut by_number = |head: &str, call: &str, otherwise: &str| -> std::fmt::Result {
-        writeln!(text, "pub(crate) fn {head} {{\nmatch number {{")?;
-        for number in 0..edits::EDITS.len() {
-            let ledger = format!("bug{number}::ledger::Ledger<usize, usize>");
-            writeln!(text, "{number} => {},", call.replace("LEDGER", &ledger))?;
-        }
-        writeln!(text, "_ => {otherwise},\n}}\n}}")
-    };
-    by_number(
-        "search(number: usize, scenario: &applemill_explore::Scenario, most: u64) -> Option<applemill_explore::Found>",
-        "Some(applemill_explore::search::<LEDGER>(scenario, most))",
-        "None",
-    )?;
-    by_number(
-        "story(number: usize, scenario: &applemill_explore::Scenario, path: &[u16]) -> Vec<String>",
-        "applemill_explore::story::<LEDGER>(scenario, path)",
-        "Vec::new()",
-    )?;
-    by_number(
-        "chart(number: usize, scenario: &applemill_explore::Scenario, path: &[u16]) -> String",
-        "applemill_explore::chart::<LEDGER>(scenario, path)",
-        "String::new()",
-    )?;
+    let makes: Vec<String> = (0..edits::EDITS.len()).map(|number| format!("bug{number}::make")).collect();
+    let count = makes.len();
+    writeln!(text, "pub(crate) const MAKES: [applemill_explore::Make; {count}] = [{}];", makes.join(", "))?;
     fs::write(Path::new(&env::var("OUT_DIR")?).join("planted.rs"), text)?;
     Ok(())
 }
--- a/crates/planted/src/lib.rs
+++ b/crates/planted/src/lib.rs
@@ -6,8 +6,7 @@
 }
 mod edits;
 
-use applemill_explore::{Found, Scenario, Token, scenario};
-use applemill_ledger::Ledger;
+use applemill_explore::{Found, Scenario, Token, chart, make, scenario, search, story};
 pub use edits::{EDITS, Edit};
 
 /// How a planted bug was found.
@@ -32,21 +31,16 @@
 }
 
 fn look(number: usize, scenario: &Scenario, most: u64) -> Option<Discovery> {
-    let found = copies::search(number, scenario, most)?;
+    let make = *copies::MAKES.get(number)?;
+    let found = search(make, scenario, most);
     let (path, _) = found.broken.as_ref()?;
-    let story = copies::story(number, scenario, path);
     let token = Token { scenario: scenario.clone(), path: path.clone() };
+    let story = story(make, scenario, path);
     Some(Discovery { scenario: scenario.name, found, token, story })
 }
 
 /// An ordering as a story and as a chart: on the ledger as it is, or with a planted bug, by its place in [`EDITS`].
-pub fn play(bug: Option<usize>, token: &Token) -> (Vec<String>, String) {
-    let Token { scenario, path } = token;
-    match bug {
-        Some(number) => (copies::story(number, scenario, path), copies::chart(number, scenario, path)),
-        None => (
-            applemill_explore::story::<Ledger<usize, usize>>(scenario, path),
-            applemill_explore::chart::<Ledger<usize, usize>>(scenario, path),
-        ),
-    }
+pub fn play(bug: Option<usize>, Token { scenario, path }: &Token) -> (Vec<String>, String) {
+    let make = bug.and_then(|number| copies::MAKES.get(number)).copied().unwrap_or(make);
+    (story(make, scenario, path), chart(make, scenario, path))
 }
