--- a/crates/explore/src/scenario.rs
+++ b/crates/explore/src/scenario.rs
@@ -304,7 +304,7 @@
     ]
 }
 
-/// Those that take minutes.
+/// Those that take longer than tests may.
 pub fn larger() -> Vec<Scenario> {
     let base = Scenario::default;
     let none = Faults::default;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -198,7 +198,6 @@
                     self.due.set(None);
                     // Rounded the other way, it would not be due yet.
                     self.take_at(self.clock.now_ms().max(due), Input::Due);
-                    self.due.set(self.ledger.borrow().next_due_ms());
                 }
                 () = self.sooner.notified() => {}
             }
