Driver: a task that ends in a way nobody foresaw may have written its request

Progress is told when an exchange waits. A task that ended within a poll, by a panic, would have been told as broken with what was last known to have left: perhaps nothing, and the request would have been sent again. Its report now says first that part of it may have left.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -9,7 +9,7 @@
 use crate::peers::Peers;
 use crate::socket::Descriptors;
 use crate::upstream::{Conn, Failure};
-use applemill_ledger::{Answer, Cargo, ConnId, Effect, Ledger, Limits, Wire};
+use applemill_ledger::{Answer, Cargo, ConnId, Effect, Heard, Ledger, Limits, Wire, Written};
 use birchspoke::Balancer;
 use birchspoke::interface::{Reporting, Request, RequestId};
 use std::cell::{Cell, RefCell};
@@ -309,6 +309,8 @@
     fn drop(&mut self) {
         // Where the ledger has closed it, it hears no more of it.
         if !self.told.get() {
+            // What left the node since the last progress was told is not known.
+            self.driver.take(Input::Conn(self.conn, Wire::Progress(Written::Part, Heard::Nothing)));
             self.driver.take(Input::Conn(self.conn, Wire::Broke));
         }
     }
