Replay: orderings of the explorer against the real binary on loopback

A crate of its own plays an ordering with a fresh node, real clients, floors played by hand and a real discovery; the world says what must be seen, and what came is counted at the floors. Times are ten times as long. Scenarios have their times as fields now, and backends and keys are named as over the wire, so that the world's choices are the node's.

--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod world;
 
 pub use chart::chart;
-pub use each::each;
+pub use each::{each, each_in};
 pub use property::{Broken, Property};
 pub use scenario::Scenario;
 pub use search::{Found, search};
--- a/crates/explore/src/scenario.rs
+++ b/crates/explore/src/scenario.rs
@@ -4,16 +4,16 @@
     Class, Discovery, Effect, Goal, Group, Prices, Reporting, RouteValues, Settings, Weights,
 };
 
-/// How long clients wait, in milliseconds.
-pub const PATIENCE_MS: f64 = 100.0;
+/// How long clients wait, in milliseconds; of a scenario, [`Scenario::patience_ms`].
+const PATIENCE_MS: f64 = 100.0;
 /// The decisions end a request so long before that.
 pub const MARGIN_MS: f64 = 4.0;
 /// And so long before, the ledger does.
 pub const LAST_MARGIN_MS: f64 = 1.0;
 /// What is first sent to a backend later than this after its notice breaks a rule.
-pub const GRACE_MS: f64 = 20.0;
+const GRACE_MS: f64 = 20.0;
 /// How long a keyed repeat is dropped.
-pub const KEY_MS: f64 = 60.0;
+const KEY_MS: f64 = 60.0;
 
 /// What a notice says of backend 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -72,6 +72,8 @@
     pub second_copy_ms: Option<f64>,
     /// The longest attempt.
     pub attempt_ms: f64,
+    /// How long a keyed repeat is dropped.
+    pub key_ms: f64,
     /// Descriptors are waited for.
     pub scarce: bool,
     /// The node is told to stop, at any time.
@@ -80,6 +82,8 @@
     pub late: bool,
     /// Time goes on by so much at most, so that clients ask at more moments than those of timers.
     pub step_ms: Option<f64>,
+    /// All times but those of the node itself are so many times as long.
+    pub times: u32,
 }
 
 impl Default for Scenario {
@@ -94,25 +98,54 @@
             kept: false,
             second_copy_ms: None,
             attempt_ms: 40.0,
+            key_ms: KEY_MS,
             scarce: false,
             stop: false,
             late: false,
             step_ms: None,
+            times: 1,
         }
     }
 }
 
 impl Scenario {
+    /// The same with all times but the node's own so many times as long, for clocks that are not exact.
+    pub fn slower(self, times: u32) -> Scenario {
+        let by = f64::from(times) / f64::from(self.times);
+        Scenario {
+            attempt_ms: self.attempt_ms * by,
+            key_ms: self.key_ms * by,
+            second_copy_ms: self.second_copy_ms.map(|ms| ms * by),
+            step_ms: self.step_ms.map(|ms| ms * by),
+            times,
+            ..self
+        }
+    }
+
+    fn long(&self, ms: f64) -> f64 {
+        ms * f64::from(self.times)
+    }
+
+    /// How long clients wait.
+    pub fn patience_ms(&self) -> f64 {
+        self.long(PATIENCE_MS)
+    }
+
+    /// What is first sent to a backend later than this after its notice breaks a rule.
+    pub fn grace_ms(&self) -> f64 {
+        self.long(GRACE_MS)
+    }
+
     /// The decisions' settings: a class for each request. Housekeeping is too seldom to come up, and nothing that is
     /// learned closes admission within so few requests.
     pub fn settings(&self) -> Settings {
         let class = |effect: &Effect| Class {
-            aim_ms: PATIENCE_MS,
-            deadline_ms: PATIENCE_MS,
+            aim_ms: self.patience_ms(),
+            deadline_ms: self.patience_ms(),
             worth: 1.0,
             late_worth: 0.5,
             effect: *effect,
-            key_ttl_ms: KEY_MS,
+            key_ttl_ms: self.key_ms,
             aim_stretch: 0.0,
             route: RouteValues {
                 attempts: self.attempts,
@@ -148,8 +181,8 @@
             peer_messages: false,
             open_cap: 100,
             max_streams: 1,
-            conn_idle_ms: 1000.0,
-            connect_timeout_ms: 30.0,
+            conn_idle_ms: self.long(1000.0),
+            connect_timeout_ms: self.long(30.0),
             cpu_us_per_s: 0.0,
             marks_retry: false,
             over_share_worth: 0.1,
@@ -160,7 +193,7 @@
             fall_multiple: 2.0,
             fall_ms: 600_000.0,
             late_shedding: false,
-            drain_grace_ms: GRACE_MS,
+            drain_grace_ms: self.grace_ms(),
             drain_close_ms: None,
             must_ask_in_ms: 0.0,
             tick_ms: 1.0,
--- a/crates/explore/src/token.rs
+++ b/crates/explore/src/token.rs
@@ -15,7 +15,11 @@
 impl fmt::Display for Token {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let path: Vec<String> = self.path.iter().map(u16::to_string).collect();
-        write!(f, "{}:{}", self.scenario.name, path.join("."))
+        write!(f, "{}", self.scenario.name)?;
+        if self.scenario.times != 1 {
+            write!(f, "@{}", self.scenario.times)?;
+        }
+        write!(f, ":{}", path.join("."))
     }
 }
 
@@ -26,6 +30,13 @@
         let (name, path) = text
             .split_once(':')
             .ok_or_else(|| format!("'{text}' is no token: SCENARIO:0.2.1 would be one"))?;
+        let (name, times) = match name.split_once('@') {
+            Some((name, times)) => {
+                let many = times.parse().ok().filter(|times| (1..=100).contains(times));
+                (name, many.ok_or_else(|| format!("'@{times}': 1 to 100 times as slow"))?)
+            }
+            None => (name, 1),
+        };
         let all: Vec<Scenario> = scenario::all().into_iter().chain(scenario::larger()).collect();
         let names: Vec<&str> = all.iter().map(|s| s.name).collect();
         let found = all.iter().find(|s| s.name == name);
@@ -33,6 +44,6 @@
             found.ok_or_else(|| format!("no scenario '{name}'; there are {}", names.join(", ")))?;
         let step = |step: &str| step.parse().map_err(|_| format!("'{step}' is no step: a number would be"));
         let path: Result<Vec<u16>, String> = path.split('.').filter(|s| !s.is_empty()).map(step).collect();
-        Ok(Token { scenario: scenario.clone(), path: path? })
+        Ok(Token { scenario: scenario.clone().slower(times), path: path? })
     }
 }
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -6,11 +6,12 @@
 mod node;
 
 use crate::property::{Broken, Property};
-use crate::scenario::{Faults, GRACE_MS, LAST_MARGIN_MS, MARGIN_MS, Notice, PATIENCE_MS, Scenario};
+use crate::scenario::{Faults, LAST_MARGIN_MS, MARGIN_MS, Notice, Scenario};
 use crate::subject::{In, Make, Reply, Subject};
 use applemill_ledger::{ConnId, Heard, Limits, Target, Wire, Written};
 use birchspoke::Balancer;
 use birchspoke::interface::{BackendId, Effect as Repeats, Entry, Health, ListKind, Request, RequestId};
+use birchspoke::wire::stable_hash;
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 /// What comes behind an answer is there so soon.
 const BEHIND_MS: f64 = 10.0;
 /// The seed of the decisions' draws.
-const SEED: u64 = 7;
+pub const SEED: u64 = 7;
 
 /// What may happen next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -71,10 +72,14 @@
     Due,
 }
 
+/// How a client was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Given {
+pub enum Given {
+    /// With a backend's answer.
     Served,
+    /// Its request surely has not run, or trying again is harmless.
     Refused,
+    /// It may have run.
     Failed,
 }
 
@@ -91,8 +96,8 @@
         self.asked.is_some() && !self.left && self.given.is_none()
     }
 
-    fn patience_ends(&self) -> f64 {
-        self.asked.map_or(f64::INFINITY, f64::from_bits) + PATIENCE_MS
+    fn patience_ends(&self, patience_ms: f64) -> f64 {
+        self.asked.map_or(f64::INFINITY, f64::from_bits) + patience_ms
     }
 }
 
@@ -179,16 +184,30 @@
     pub telling: bool,
 }
 
+/// A backend's name, as discovery tells it.
+pub fn name(backend: usize) -> String {
+    format!("s-{backend}")
+}
+
+/// The cell that it is in: 0 and 1 share one.
+pub fn cell(backend: usize) -> u32 {
+    backend as u32 / 2
+}
+
+/// What a client's request is about.
+pub fn key(client: usize) -> String {
+    format!("k-{client}")
+}
+
 fn address(backend: usize, start: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, start, 1 + backend as u8], 80))
 }
 
 fn target(backend: usize, address: SocketAddr, health: Health, ready_at_ms: f64) -> Target {
-    // Backends 0 and 1 share a cell.
     let entry = Entry {
-        backend: BackendId(backend as u64),
+        backend: BackendId(stable_hash(&name(backend))),
         zone: 0,
-        cell: backend as u32 / 2,
+        cell: cell(backend),
         health,
         units: 1.0,
         ready_at_ms,
@@ -271,12 +290,12 @@
             id: RequestId(id),
             class,
             tenant: None,
-            key: Some(n as u64 + 1),
-            deadline_ms: self.now + PATIENCE_MS - MARGIN_MS,
+            key: Some(stable_hash(&key(n))),
+            deadline_ms: self.now + self.scenario.patience_ms() - MARGIN_MS,
             effort_ms: None,
             retry: false,
         };
-        let expires_ms = self.now + PATIENCE_MS - LAST_MARGIN_MS;
+        let expires_ms = self.now + self.scenario.patience_ms() - LAST_MARGIN_MS;
         self.hand_in(In::Arrived { request, expires_ms, call: n, owed: n })
     }
 
@@ -393,7 +412,8 @@
         if matches!(effect, Some(Repeats::Keyed(_))) {
             link.times = (if first { self.now.to_bits() } else { link.times.0 }, self.now.to_bits());
         }
-        let past = self.told.iter().find(|(at, told)| *at == link.address && self.now > told + GRACE_MS);
+        let grace_ms = self.scenario.grace_ms();
+        let past = self.told.iter().find(|(at, told)| *at == link.address && self.now > told + grace_ms);
         if let (true, Some((at, told))) = (first, past) {
             let how = format!("first sent to {at} at {} ms, the notice came at {told} ms", self.now);
             return Err(Broken { property: Property::Cutoff, how });
@@ -474,6 +494,39 @@
         self.now
     }
 
+    /// How a client was answered; none before, and none where it left.
+    pub fn given(&self, client: usize) -> Option<Given> {
+        self.clients.get(client).filter(|c| !c.left).and_then(|c| c.given)
+    }
+
+    /// Connections that the node holds open, and where they lead.
+    pub fn open(&self) -> impl Iterator<Item = (ConnId, SocketAddr)> + '_ {
+        self.links.iter().filter(|(_, l)| l.stands == Stands::Open).map(|(id, l)| (*id, l.address))
+    }
+
+    /// Where a backend is now.
+    pub fn address_of(&self, backend: usize) -> Option<SocketAddr> {
+        self.addresses.get(backend).copied()
+    }
+
+    /// Somebody listens where a connection leads.
+    pub fn may_connect(&self, id: ConnId) -> bool {
+        self.links.get(&id).is_some_and(|l| !self.dead.contains(&l.address))
+    }
+
+    /// The next notice.
+    pub fn next_notice(&self) -> Option<Notice> {
+        self.scenario.notices.get(self.notices).copied()
+    }
+
+    /// An idle connection has not been quiet for so long after its last answer.
+    pub fn unsettled(&self, ms: f64) -> bool {
+        let quiet = |l: &Link| l.quiet.map_or(f64::NEG_INFINITY, f64::from_bits);
+        self.links
+            .values()
+            .any(|l| l.stands == Stands::Open && l.cargo.is_none() && self.now - quiet(l) < ms)
+    }
+
     /// Where a connection leads: its backend, and whose request is on it.
     pub fn on(&self, id: ConnId) -> (Option<usize>, Option<usize>) {
         self.links.get(&id).map_or((None, None), |l| (Some(l.backend), l.cargo))
--- a/crates/explore/src/world/enabled.rs
+++ b/crates/explore/src/world/enabled.rs
@@ -6,15 +6,13 @@
 
 /// A timer may be handed in so late, while other things go first. Less than the ledger's margin for it.
 const LATE_MS: f64 = 0.5;
-/// Time goes in steps up to then.
-const STEPS_MS: f64 = 100.0;
 /// Nothing falls due later that matters.
 const HORIZON_MS: f64 = 10_000.0;
 
 impl World<'_> {
     /// The moment to which time goes on; none where nothing waits for it.
     pub(super) fn next_moment(&self) -> Option<f64> {
-        let due = self.subject.due_ms().filter(|due| *due < HORIZON_MS);
+        let due = self.subject.due_ms().filter(|due| *due < HORIZON_MS * f64::from(self.scenario.times));
         if let Some(due) = due.filter(|due| *due <= self.now) {
             // It is handed in late, but not later than this.
             return Some(due + LATE_MS).filter(|late| self.scenario.late && *late > self.now);
@@ -22,8 +20,8 @@
         let held = self.subject.held();
         let waits = held.requests > 0 || held.busy > 0 || self.clients.iter().any(Client::waits);
         let due = due.filter(|_| waits);
-        // Where time goes in steps, it does so until all have asked.
-        let asks = self.clients.iter().any(|c| c.asked.is_none()) && self.now < STEPS_MS;
+        // Where time goes in steps, it does so until all have asked, or as long as clients wait.
+        let asks = self.clients.iter().any(|c| c.asked.is_none()) && self.now < self.scenario.patience_ms();
         let step =
             self.scenario.step_ms.filter(|_| asks).map(|step| ((self.now / step).floor() + 1.0) * step);
         step.into_iter().chain(due).min_by(f64::total_cmp)
--- a/crates/explore/src/world/judge.rs
+++ b/crates/explore/src/world/judge.rs
@@ -2,13 +2,13 @@
 
 use super::{Client, Given, Link, Run, Stands, World};
 use crate::property::{Broken, Property};
-use crate::scenario::KEY_MS;
 use crate::subject::Reply;
 use applemill_ledger::Answer;
 use birchspoke::interface::Effect as Repeats;
 
 impl World<'_> {
     pub(super) fn answered(&mut self, n: usize, answer: &Answer<Reply>) -> Result<(), Broken> {
+        let patience_ms = self.scenario.patience_ms();
         let Some(client) = self.clients.get_mut(n) else { return Ok(()) };
         if client.given.is_some() {
             return Err(Broken { property: Property::One, how: format!("client {n} is answered again") });
@@ -18,7 +18,7 @@
             Answer::Refused { .. } => Given::Refused,
             Answer::Failed => Given::Failed,
         });
-        if !client.left && self.now > client.patience_ends() {
+        if !client.left && self.now > client.patience_ends(patience_ms) {
             let how = format!("client {n} is answered at {} ms", self.now);
             return Err(Broken { property: Property::InTime, how });
         }
@@ -33,7 +33,8 @@
 
     /// What must hold at every moment.
     pub(super) fn judge(&self) -> Result<(), Broken> {
-        let late = self.clients.iter().position(|c| c.waits() && self.now >= c.patience_ends());
+        let patience_ms = self.scenario.patience_ms();
+        let late = self.clients.iter().position(|c| c.waits() && self.now >= c.patience_ends(patience_ms));
         if let Some(n) = late {
             let how = format!("client {n} has no answer at {} ms", self.now);
             return Err(Broken { property: Property::InTime, how });
@@ -61,7 +62,7 @@
             Repeats::Unsafe => runs.len(),
             // A repeat is dropped in its cell, where it has left before the key is forgotten.
             Repeats::Keyed(_) => {
-                let ends = f64::from_bits(first.times.0) + KEY_MS;
+                let ends = f64::from_bits(first.times.0) + self.scenario.key_ms;
                 let dropped = |run: &&&Run| {
                     run.backend / 2 == first.backend / 2 && f64::from_bits(run.times.1) <= ends
                 };
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,8 +6,8 @@
 mod states;
 
 use clap::{Parser, ValueEnum};
-use std::path::PathBuf;
-use std::process::ExitCode;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode, Stdio};
 
 /// Set for a process that is to be a node.
 const AS_NODE: &str = "APPLEMILL_MEASURE_AS_NODE";
@@ -22,6 +22,9 @@
     /// Tell one of the explorer's orderings instead, by its token.
     #[arg(long, value_name = "TOKEN", conflicts_with = "name")]
     story: Option<String>,
+    /// And play it against the real binary, ten times as slow: a node, clients and backends on loopback.
+    #[arg(long, requires = "story")]
+    real: bool,
     /// And draw it as a sequence chart.
     #[arg(long, value_name = "FILE", requires = "story")]
     svg: Option<PathBuf>,
@@ -38,6 +41,13 @@
     States,
 }
 
+/// A node that is this program again; `own` is this program.
+fn node(own: &Path) -> Command {
+    let mut command = Command::new(own);
+    command.env(AS_NODE, "1").stderr(Stdio::null());
+    command
+}
+
 fn main() -> ExitCode {
     // A node of a measurement: what follows is the node's own command line.
     if std::env::var_os(AS_NODE).is_some() {
@@ -48,7 +58,7 @@
         (Some(Name::Routes), _) => routes::measure(cli.scale),
         (Some(Name::States), _) => states::measure(cli.scale),
         (None, token) => {
-            return match states::tell(&token.unwrap_or_default(), cli.svg) {
+            return match states::tell(&token.unwrap_or_default(), cli.svg, cli.real) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(e) => {
                     eprintln!("applemill-measure: {e}");
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -1,13 +1,11 @@
 //! `routes`: what routes cost, and what they keep.
 
-use crate::AS_NODE;
 use applemill_routes::{Asked, Found, Header, Rules, load};
 use applemill_stand_ins::{Auction, Bids, Client, Faults, Node, play_bids};
 use serde_json::{Value, json};
 use std::error::Error;
 use std::hint::black_box;
 use std::net::SocketAddr;
-use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// Lookups in one timed stretch.
@@ -122,9 +120,7 @@
 
 /// A node that is this program again.
 fn start(text: &str) -> Result<Node, Box<dyn Error>> {
-    let mut command = Command::new(std::env::current_exe()?);
-    command.env(AS_NODE, "1").stderr(Stdio::null());
-    let mut node = Node::run_file(command, text)?;
+    let mut node = Node::run_file(crate::node(&std::env::current_exe()?), text)?;
     node.get_ready()?;
     Ok(node)
 }
--- a/crates/measure/src/states.rs
+++ b/crates/measure/src/states.rs
@@ -1,14 +1,21 @@
-//! `states`: every ordering of the explorer's scenarios, and the bugs that are planted for it; `story`: one ordering,
-//! for people.
+//! `states`: every ordering of the explorer's scenarios, the bugs that are planted for it, and a sample of orderings with
+//! the real binary; `story`: one ordering, for people.
 
+use crate::node;
 use applemill_explore::{Found, Scenario, Token, each, make, scenario, search, story};
 use applemill_planted::{EDITS, discover, play};
+use applemill_replay::{Played, from_token, play_all, sample};
 use serde_json::{Value, json};
 use std::error::Error;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Worlds of one scenario that are looked at by scale; the scenarios of the tests take under a third of it.
 const MOST: u64 = 1_000_000;
+/// Orderings that are played against the real binary, by scale.
+const REPLAYED: usize = 40;
+/// What the sample of them is drawn with.
+const REPLAY_SEED: u64 = 1;
 
 /// Explores all, in as many threads as there are cores.
 pub fn measure(scale: u32) -> Result<Value, Box<dyn Error>> {
@@ -48,8 +55,10 @@
         })
         .collect();
     let planted_found = discovered.iter().flatten().count();
+    let (replayed, played) = replay(REPLAYED * scale as usize)?;
     let complete = found.iter().all(|f| f.complete);
-    let kept = broken == 0 && complete && planted_found == EDITS.len();
+    let same = played.same == replayed;
+    let kept = broken == 0 && complete && planted_found == EDITS.len() && same;
     Ok(json!({
         "measurement": "states",
         "sizes": scenarios.iter().zip(&found).map(size).collect::<Vec<_>>(),
@@ -57,10 +66,35 @@
         "planted": EDITS.len(),
         "planted_found": planted_found,
         "stories": planted,
+        "replayed": replayed,
+        "replayed_same": played.same,
+        "replays_repeated": played.again,
+        "differences": played.different,
         "kept": kept,
     }))
 }
 
+/// Plays a sample against the real binary: how many there were, and what came of them.
+fn replay(count: usize) -> Result<(usize, Played), Box<dyn Error>> {
+    let own = std::env::current_exe()?;
+    let orderings = sample(count, REPLAY_SEED);
+    let done = AtomicUsize::new(0);
+    let played = play_all(
+        &orderings,
+        || node(&own),
+        || {
+            let done = done.fetch_add(1, Ordering::Relaxed) + 1;
+            if done.is_multiple_of(20) {
+                eprintln!("played against the real binary: {done} of {}", orderings.len());
+            }
+        },
+    );
+    for different in &played.different {
+        eprintln!("with the real binary: {different}");
+    }
+    Ok((orderings.len(), played))
+}
+
 fn size((scenario, found): (&Scenario, &Found)) -> Value {
     json!({
         "name": scenario.name,
@@ -76,8 +110,8 @@
 }
 
 /// Tells an ordering by its token, `SCENARIO:0.2.1`, or `BUG/SCENARIO:0.2.1` with a planted bug by its number, and draws
-/// it where a file is named.
-pub fn tell(token: &str, svg: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+/// it where a file is named. Where `real`, it is then played against the real binary.
+pub fn tell(token: &str, svg: Option<PathBuf>, real: bool) -> Result<(), Box<dyn Error>> {
     let (bug, token) = match token.split_once('/') {
         Some((bug, token)) => {
             let number: Option<usize> = bug.parse().ok().filter(|n| *n < EDITS.len());
@@ -87,7 +121,8 @@
         }
         None => (None, token),
     };
-    let (told, chart) = play(bug, &token.parse::<Token>()?);
+    let token = token.parse::<Token>()?;
+    let (told, chart) = play(bug, &token);
     if let Some(edit) = bug.and_then(|n| EDITS.get(n)) {
         println!("with a bug planted: {}", edit.name);
     }
@@ -96,5 +131,13 @@
         std::fs::write(&file, chart).map_err(|e| format!("{}: {e}", file.display()))?;
         eprintln!("drawn in {}", file.display());
     }
+    if real {
+        let own = std::env::current_exe()?;
+        let played = play_all(&[from_token(&token)?], || node(&own), || ());
+        match played.different.first() {
+            Some(different) => return Err(format!("the real binary differs: {different}").into()),
+            None => println!("the real binary, without any bug planted: as the ledger has it"),
+        }
+    }
     Ok(())
 }
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of backends, told as a whole to whoever asks or watches.
 
 use crate::http::{Message, reply};
-use crate::loopback;
+use crate::{PATIENCE, loopback};
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -27,6 +27,7 @@
     silent: bool,
     hasty: bool,
     calls: u32,
+    heard: u64,
 }
 
 /// A fake discovery that always tells the whole list.
@@ -71,6 +72,8 @@
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().unwrap();
             state.calls += 1;
+            state.heard = state.heard.max(after);
+            changed.notify_all();
             while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
@@ -103,6 +106,14 @@
         self.state.0.lock().unwrap().hasty = hasty;
     }
 
+    /// Waits until somebody who has had the last list asks for what follows it; false where nobody does.
+    pub fn is_heard(&self) -> bool {
+        let (lock, changed) = &*self.state;
+        let Ok(state) = lock.lock() else { return false };
+        let waited = changed.wait_timeout_while(state, PATIENCE / 5, |s| s.heard < s.rev);
+        waited.is_ok_and(|(state, _)| state.heard >= state.rev)
+    }
+
     /// Calls that were made so far.
     pub fn calls(&self) -> u32 {
         self.state.0.lock().unwrap().calls
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod auction;
 mod bids;
+mod by_hand;
 mod client;
 mod discovery;
 mod floor;
@@ -11,6 +12,7 @@
 
 pub use auction::*;
 pub use bids::*;
+pub use by_hand::*;
 pub use client::*;
 pub use discovery::*;
 pub use floor::*;
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -115,6 +115,23 @@
         }
     }
 
+    /// A node by both: the platform's configuration, and an operator's file beside it. `program` takes the node's
+    /// arguments.
+    ///
+    /// # Errors
+    /// A file cannot be written, or the program not started.
+    pub fn run_both(mut program: Command, mut config: Value, text: &str) -> std::io::Result<Node> {
+        let address = free_address();
+        let name = format!("applemill-{}-{}.toml", std::process::id(), address.ip());
+        let file = std::env::temp_dir().join(name);
+        let platform = file.with_extension("json");
+        std::fs::write(&file, text)?;
+        config["listen"] = address.to_string().into();
+        std::fs::write(&platform, config.to_string())?;
+        program.env("LB_CONFIG", &platform).env("LB_OPERATOR", &file).env_remove("LB_DISCOVERY");
+        Ok(Node { address, child: program.spawn()?, file, config })
+    }
+
     /// Waits until it can serve.
     ///
     /// # Errors
@@ -248,6 +265,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(self.file.with_extension("json"));
         // A test may have put a folder in its place.
         let _ = std::fs::remove_file(&self.file).or_else(|_| std::fs::remove_dir(&self.file));
     }
