Measure request: CPU beside haproxy, and its growth with what is kept and open

Stand-in servers that cost little and hold what they are told to; haproxy where it is installed; strace for calls.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! object to standard output; the exit code is 1 where a promise is broken. The node is this program itself, started
 //! again as one, so that one build has all.
 
+mod request;
 mod routes;
 mod states;
 
@@ -35,6 +36,8 @@
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum Name {
+    /// Request: what one costs the node, beside haproxy, and whether that grows with what the node holds.
+    Request,
     /// Routes: time of a lookup, cost of a request, bids through faults.
     Routes,
     /// States: every ordering of small worlds round the ledger, and the bugs planted for it.
@@ -55,6 +58,7 @@
     }
     let cli = Cli::parse();
     let measured = match (cli.name, cli.story) {
+        (Some(Name::Request), _) => request::measure(cli.scale),
         (Some(Name::Routes), _) => routes::measure(cli.scale),
         (Some(Name::States), _) => states::measure(cli.scale),
         (None, token) => {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -9,6 +9,7 @@
 mod floor;
 mod http;
 mod node;
+mod quick;
 
 pub use auction::*;
 pub use bids::*;
@@ -18,6 +19,7 @@
 pub use floor::*;
 pub use http::*;
 pub use node::*;
+pub use quick::*;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -39,6 +39,20 @@
     beside.into_iter().find(|p| p.is_file()).unwrap_or_else(|| "applemill".into())
 }
 
+/// CPU that a process has used so far, as the scheduler counts it: to the nanosecond, and not in clock ticks.
+///
+/// # Errors
+/// The system does not say.
+pub fn cpu_of(pid: u32) -> std::io::Result<Duration> {
+    let mut used = 0;
+    for task in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
+        let figure = text.split_whitespace().next().and_then(|f| f.parse::<u64>().ok());
+        used += figure.ok_or_else(|| std::io::Error::other("schedstat has no figure"))?;
+    }
+    Ok(Duration::from_nanos(used))
+}
+
 fn with_listen(text: &str, address: SocketAddr) -> String {
     text.replace("LISTEN", &address.to_string())
 }
@@ -147,18 +161,17 @@
         Ok(())
     }
 
-    /// CPU that it has used so far, as the scheduler counts it: to the nanosecond, and not in clock ticks.
+    /// CPU that it has used so far; as [`cpu_of`].
     ///
     /// # Errors
     /// The system does not say.
     pub fn cpu(&self) -> std::io::Result<Duration> {
-        let mut used = 0;
-        for task in std::fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
-            let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
-            let figure = text.split_whitespace().next().and_then(|f| f.parse::<u64>().ok());
-            used += figure.ok_or_else(|| std::io::Error::other("schedstat has no figure"))?;
-        }
-        Ok(Duration::from_nanos(used))
+        cpu_of(self.id())
+    }
+
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Where its file is.
