--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,6 +1,7 @@
 //! What is sent to backends and what comes back, as HTTP: requests made from what clients asked, and answers read for
 //! what they mean. How long they are waited for, and what follows, is the ledger's.
 
+use crate::names::{EXPIRES, LOAD, NEVER_RAN};
 use applemill_ledger::{Cargo, Finish};
 use birchspoke::interface::Outcome;
 use birchspoke::wire;
@@ -17,10 +18,6 @@
 
 /// Bodies hold at most this much, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
-/// How long this node will wait, as a backend is told.
-pub const EXPIRES: &str = "x-expires-in-ms";
-const NEVER_RAN: &str = "x-never-ran";
-const LOAD: &str = "endpoint-load-metrics";
 
 /// What a client asked, to be sent on unchanged.
 pub struct Call {
@@ -138,7 +135,7 @@
 /// What a backend's whole answer says.
 pub fn finish(answer: Response<Bytes>, dialect: Dialect) -> Finish<Reply> {
     let (mut head, body) = answer.into_parts();
-    let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let header = |name: HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
     let load = header(LOAD).map(wire::load_report).unwrap_or_default();
     let unseen = header(NEVER_RAN) == Some("1");
     let outcome = match head.status {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod driver;
 mod log;
+mod names;
 mod operator;
 mod peers;
 mod request;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,7 +3,8 @@
 //! What is turned away costs no backend anything and is answered at once. Its connection ends with the answer:
 //! the rest of what such a client sends is not wanted, and may not mean what it seems to.
 
-use crate::call::{BODY_LIMIT, Call, EXPIRES, end_to_end, without_own};
+use crate::call::{BODY_LIMIT, Call, end_to_end, without_own};
+use crate::names::{CUSTOMER, EXPIRES, IDEMPOTENCY_KEY, OBJECT, QOS, SECOND_TRY, SIZE_HINT, TRACE_ID};
 use crate::operator::{Operator, RunningPool, Version};
 use applemill_routes::{self as routes, Found, Header, normal_host, normal_path};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
@@ -11,7 +12,9 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Uri};
 use std::cell::RefCell;
@@ -207,18 +210,18 @@
 
     /// A request in the platform's form.
     fn platform(&self, head: Parts) -> Result<Headed, Turned> {
-        let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let header = |name: HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
         no_codings(&head)?;
-        let Some(id) = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned() else {
+        let Some(id) = head.headers.get(TRACE_ID).filter(|id| !id.is_empty()).cloned() else {
             return Err(wrong("X-Trace-Id is missing\n"));
         };
         let Some(pool) = self.pools.first() else { return Err(Turned::Full) };
-        let class = pool.names.class(header("x-qos").unwrap_or_default());
+        let class = pool.names.class(header(QOS).unwrap_or_default());
         let Some(known) = self.classes.get(class) else {
             return Err(wrong("X-Qos names no class\n"));
         };
         let length = length(&head, (head.method == Method::GET).then_some(0))?;
-        let keyed = head.headers.contains_key("idempotency-key");
+        let keyed = head.headers.contains_key(IDEMPOTENCY_KEY);
         // The class tells how often the request may run; a method that says otherwise is a mistake, and
         // taking it for either could run something twice.
         let agrees = match known.effect {
@@ -238,15 +241,15 @@
                 None => return Err(wrong("X-Expires-In-Ms is no number of milliseconds\n")),
             },
         };
-        let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
+        let effort = header(SIZE_HINT).and_then(|v| v.trim().parse::<f64>().ok());
         let asked = Asked {
             id: RequestId(0),
             class,
-            tenant: header("x-customer").and_then(|t| pool.names.tenant(t)),
-            key: header("x-object").map(stable_hash),
+            tenant: header(CUSTOMER).and_then(|t| pool.names.tenant(t)),
+            key: header(OBJECT).map(stable_hash),
             deadline_ms: 0.0,
             effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
-            retry: header("x-second-try") == Some("1"),
+            retry: header(SECOND_TRY) == Some("1"),
         };
         let target =
             head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
@@ -312,7 +315,7 @@
         {
             return Err(wrong("Idempotency-Key is missing, or is there twice\n"));
         }
-        let id = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned();
+        let id = head.headers.get(TRACE_ID).filter(|id| !id.is_empty()).cloned();
         let class_wait = wait_of(chosen.effective.deadline_ms.value);
         let asked = Asked {
             id: RequestId(0),
