--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -101,9 +101,8 @@
     conns: BTreeMap<ConnId, (usize, usize)>,
     /// Requests that were seen so far, by floor and connection.
     counts: Vec<Vec<usize>>,
+    /// Connections on which an answer's head has gone out, and not the rest.
     headed: BTreeSet<ConnId>,
-    /// Whose requests the world has had written, by floor.
-    sent: BTreeSet<(usize, usize, usize)>,
 }
 
 /// Plays it; `program` is the node's.
@@ -127,7 +126,6 @@
         conns: BTreeMap::new(),
         counts,
         headed: BTreeSet::new(),
-        sent: BTreeSet::new(),
     };
     if ordering.scenario.kept {
         player.warm_up(ordering.scenario.backends)?;
@@ -309,7 +307,6 @@
         if let Some(count) = counts.get_mut(number) {
             *count += 1;
         }
-        self.sent.insert((floor, number, whose));
         let place = *self.conns.entry(conn).or_insert((floor, number));
         if place != (floor, number) {
             return seen(format!(
