Upstream: a whole answer is told once; measure has one median and one start

Read again: since answers are read by the crate answers, each exchange that went well told the ledger once more that something had come, just before the whole answer: an input for nothing. A test counts what is told, red with the mistake put back. The measurement request had written median and the start of a node again; both stand once in main.rs.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,7 +6,9 @@
 mod routes;
 mod states;
 
+use applemill_stand_ins::Node;
 use clap::{Parser, ValueEnum};
+use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
 
@@ -51,6 +53,20 @@
     command
 }
 
+/// A node that is this program again, on an operator's file.
+fn start(text: &str) -> Result<Node, Box<dyn Error>> {
+    let mut node = Node::run_file(node(&std::env::current_exe()?), text)?;
+    node.get_ready()?;
+    Ok(node)
+}
+
+/// The middle one; none of none.
+fn median(all: &[f64]) -> Option<f64> {
+    let mut all = all.to_vec();
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied()
+}
+
 fn main() -> ExitCode {
     // A node of a measurement: what follows is the node's own command line.
     if std::env::var_os(AS_NODE).is_some() {
--- a/crates/measure/src/request.rs
+++ b/crates/measure/src/request.rs
@@ -1,5 +1,6 @@
 //! `request`: what a request costs the node, beside haproxy, and whether that grows with what the node holds.
 
+use crate::{median, start};
 use applemill_stand_ins::{Client, HELD, Node, PATIENCE, Quick, cpu_of, free_address};
 use serde_json::{Value, json};
 use std::error::Error;
@@ -38,12 +39,6 @@
     )
 }
 
-fn start(servers: &Quick) -> Result<Node, Box<dyn Error>> {
-    let mut node = Node::run_file(crate::node(&std::env::current_exe()?), &file(&servers.addresses))?;
-    node.get_ready()?;
-    Ok(node)
-}
-
 /// haproxy before the same servers; killed when dropped.
 struct Haproxy {
     address: SocketAddr,
@@ -139,12 +134,6 @@
     Ok((cpu, waits.get(waits.len() * 99 / 100).copied().unwrap_or(f64::NAN)))
 }
 
-fn median(all: &[f64]) -> Option<f64> {
-    let mut all = all.to_vec();
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied()
-}
-
 /// More requests that the servers hold, by so many clients; then they hold `all`.
 fn hold(node: &Node, servers: &Quick, count: usize, all: usize) -> Result<Vec<Client>, Box<dyn Error>> {
     let mut clients = Vec::new();
@@ -237,7 +226,7 @@
     let scale = scale.min(10) as usize;
     let (rounds, each) = (5 + scale, 40 * scale);
     let servers = Quick::start(SERVERS)?;
-    let node = start(&servers)?;
+    let node = start(&file(&servers.addresses))?;
     let haproxy = Haproxy::start(&servers.addresses)?;
     let (mut cpu, mut of_haproxy, mut cpu_ratios, mut p99_ratios) = (vec![], vec![], vec![], vec![]);
     for round in 0..rounds {
@@ -265,14 +254,14 @@
 
     let alone = 400 * scale;
     let servers = Quick::start(HOLDING_SERVERS)?;
-    let (little, much) = (start(&servers)?, start(&servers)?);
+    let (little, much) = (start(&file(&servers.addresses))?, start(&file(&servers.addresses))?);
     let_go(hold(&little, &servers, LITTLE, LITTLE)?, &servers)?;
     hold_much(&much, &servers)?;
     let kept_connections = (little.descriptors(), much.descriptors());
     let with_kept = growth("kept connections", &little, &much, rounds, alone)?;
     drop((little, much));
 
-    let (little, much) = (start(&servers)?, start(&servers)?);
+    let (little, much) = (start(&file(&servers.addresses))?, start(&file(&servers.addresses))?);
     hold_much(&little, &servers)?;
     hold_much(&much, &servers)?;
     let held = (hold(&little, &servers, LITTLE, LITTLE)?, hold(&much, &servers, MUCH, LITTLE + MUCH)?);
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -1,5 +1,6 @@
 //! `routes`: what routes cost, and what they keep.
 
+use crate::{median, start};
 use applemill_routes::{Asked, Found, Header, Rules, load};
 use applemill_stand_ins::{Auction, Bids, Client, Faults, Node, play_bids};
 use serde_json::{Value, json};
@@ -112,19 +113,6 @@
     Ok((node.cpu()? - before).as_secs_f64() * 1e6 / count as f64)
 }
 
-/// The middle one.
-fn median(mut all: Vec<f64>) -> f64 {
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied().unwrap_or(f64::NAN)
-}
-
-/// A node that is this program again.
-fn start(text: &str) -> Result<Node, Box<dyn Error>> {
-    let mut node = Node::run_file(crate::node(&std::env::current_exe()?), text)?;
-    node.get_ready()?;
-    Ok(node)
-}
-
 /// Bids through every fault, under each file of the sample; the floor counts what it executed.
 fn bids(count: usize) -> Result<Bids, Box<dyn Error>> {
     let mut all = Bids::default();
@@ -186,7 +174,7 @@
             memory.1
         );
     }
-    let (ratio, memory) = (median(ratios), (plain.memory_kb(), routed.memory_kb()));
+    let (ratio, memory) = (median(&ratios).unwrap_or(f64::NAN), (plain.memory_kb(), routed.memory_kb()));
     drop((plain, routed));
 
     let bids = bids(BIDS_AT_FULL_SIZE * scale.min(10) as usize / 10)?;
@@ -196,7 +184,7 @@
             == (0, 0, 0, 0);
     Ok(json!({
         "ns_per_lookup": ns, "lookup_growth": growth,
-        "cpu_ratio_with_routes": ratio, "cpu_us_without": median(without), "cpu_us_with": median(with),
+        "cpu_ratio_with_routes": ratio, "cpu_us_without": median(&without), "cpu_us_with": median(&with),
         "memory_kb_without": memory.0, "memory_kb_with": memory.1,
         "bids": bids.played, "bids_executed_twice": bids.executed_twice, "answers_late": bids.answers_late,
         "bids_unanswered": bids.unanswered, "bids_refused_and_executed": bids.refused_and_executed, "bids_served_and_not": bids.served_and_not, "kept": kept,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -6,6 +6,7 @@
 use applemill_ledger::{Heard, Written};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::Response;
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
@@ -85,12 +86,11 @@
         let limits = Limits { head: self.head_limit, body: limit };
         let mut exchange =
             Exchange { reader: Reader::new(limits, request.to_head), request, sent: 0, came: false };
-        let mut told = (Written::Nothing, Heard::Nothing);
+        let told = Cell::new((Written::Nothing, Heard::Nothing));
         let mut tell = |so_far: (Written, Heard)| {
-            if std::mem::replace(&mut told, so_far) != so_far {
+            if told.replace(so_far) != so_far {
                 progress(so_far.0, so_far.1);
             }
-            told.0
         };
         let end = poll_fn(|cx| {
             let polled = exchange.poll(&mut self.socket, cx);
@@ -100,8 +100,11 @@
             polled
         })
         .await;
-        // An answer that nobody waited for is told with what had left.
-        tell(exchange.so_far());
+        // What follows a failure goes by what had left. A whole answer says it all, but where it came before anything
+        // was told: one to what was not asked is told as one.
+        if end.is_err() || told.get().0 == Written::Nothing {
+            tell(exchange.so_far());
+        }
         let whole = end?;
         self.usable = whole.again && exchange.request_is_out();
         Ok(whole.answer)
@@ -179,3 +182,49 @@
         Poll::Ready(Ok(()))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::socket::Descriptors;
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    /// What is told of an exchange in which the server writes these pieces, a moment apart, once it has the request.
+    fn told(pieces: &'static [&'static str]) -> (bool, Vec<(Written, Heard)>) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
+            for piece in pieces {
+                std::thread::sleep(std::time::Duration::from_millis(30));
+                stream.write_all(piece.as_bytes()).unwrap();
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let (served, told) = runtime.block_on(async {
+            let slot = Descriptors::new(64).take_own();
+            let mut conn = Conn::open(address, slot, 8192).await.unwrap();
+            let mut told = Vec::new();
+            let end = conn.exchange(Outgoing::get("/", address), 100, |w, h| told.push((w, h))).await;
+            (end.is_ok(), told)
+        });
+        server.join().unwrap();
+        (served, told)
+    }
+
+    #[test]
+    fn an_exchange_tells_how_far_it_is_when_it_waits_and_nothing_of_a_whole_answer() {
+        let (whole, nothing) = (Written::Whole, Heard::Nothing);
+        assert_eq!(
+            told(&["HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"]),
+            (true, vec![(whole, nothing)])
+        );
+        let pieces = &["HTTP/1.1 102 Wait\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", "x"];
+        let expected = vec![(whole, nothing), (whole, Heard::Begun), (whole, Heard::Headed)];
+        assert_eq!(told(pieces), (true, expected));
+        // A failure is told with all that came.
+        assert_eq!(told(&["none\r\n\r\n"]), (false, vec![(whole, nothing), (whole, Heard::Begun)]));
+    }
+}
--- a/crates/rpc-wire/src/object.rs
+++ b/crates/rpc-wire/src/object.rs
@@ -19,7 +19,6 @@
     let Some(first) = bytes.first() else { return Ok(None) };
     // How many bytes say a length, what else is in front of the payload, and what the length counts.
     let leaf = |payload: u64| Head { length: 1, payload, children: 0 };
-    let told = |width: usize| (width, 0);
     let (width, kind_byte) = match Marker::from_u8(*first) {
         Marker::Reserved => return Err(Garbled::Reserved),
         Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => {
@@ -37,9 +36,9 @@
         Marker::FixExt4 => return Ok(Some(leaf(5))),
         Marker::FixExt8 => return Ok(Some(leaf(9))),
         Marker::FixExt16 => return Ok(Some(leaf(17))),
-        Marker::Str8 | Marker::Bin8 => told(1),
-        Marker::Str16 | Marker::Bin16 | Marker::Array16 | Marker::Map16 => told(2),
-        Marker::Str32 | Marker::Bin32 | Marker::Array32 | Marker::Map32 => told(4),
+        Marker::Str8 | Marker::Bin8 => (1, 0),
+        Marker::Str16 | Marker::Bin16 | Marker::Array16 | Marker::Map16 => (2, 0),
+        Marker::Str32 | Marker::Bin32 | Marker::Array32 | Marker::Map32 => (4, 0),
         Marker::Ext8 => (1, 1),
         Marker::Ext16 => (2, 1),
         Marker::Ext32 => (4, 1),
