House: HTTP front, upstream side, operator's file and sockets as crates of their own

Need: a second front and streamed bodies must stand beside today's front, not inside one crate that held sockets, requests, connections, discovery, the operator's file and the command line.

Change: crates front-http, upstream, operator, socket and log, moved and not rewritten; node is the program alone. The operator's file is split by what it does (file, pool, settings, running). Four circles are gone: Role of an ordering has a file of its own, printing too, a pool's make-up is the operator crate's, and play_many takes an address.

--- a/crates/explore/src/chart.rs
+++ b/crates/explore/src/chart.rs
@@ -1,5 +1,6 @@
 //! An ordering as a sequence chart: a line for each client, the node and each backend, time going down.
 
+use crate::role::Role;
 use crate::scenario::Scenario;
 use crate::story::{Told, tell};
 use crate::subject::Make;
@@ -9,17 +10,6 @@
 const ROW: usize = 34;
 const TOP: usize = 60;
 
-/// Who does something, or to whom it is done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// A client.
-    Client(usize),
-    /// The node.
-    Node,
-    /// A backend.
-    Backend(usize),
-}
-
 fn escaped(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod chart;
 mod each;
 pub mod property;
+mod role;
 pub mod scenario;
 pub mod search;
 pub mod story;
@@ -14,6 +15,7 @@
 pub use chart::chart;
 pub use each::{each, each_in};
 pub use property::{Broken, Property};
+pub use role::Role;
 pub use scenario::Scenario;
 pub use search::{Found, search};
 pub use story::story;
--- a/crates/explore/src/story.rs
+++ b/crates/explore/src/story.rs
@@ -1,7 +1,7 @@
 //! An ordering as a numbered story, for people.
 
-use crate::chart::Role;
 use crate::property::Broken;
+use crate::role::Role;
 use crate::scenario::Scenario;
 use crate::subject::{Make, Out};
 use crate::world::{Happening, World};
--- /dev/null
+++ b/crates/front-http/src/lib.rs
@@ -0,0 +1,9 @@
+//! The HTTP/1.1 front: clients' connections, what they ask, and the answers they get. It hands requests to the drivers
+//! of `applemill-upstream` and holds no decision; which route takes what is `applemill-routes`', other fronts stand
+//! beside it.
+
+mod request;
+mod server;
+
+pub use request::Reader;
+pub use server::Server;
--- a/crates/node/src/request.rs
+++ b/crates/front-http/src/request.rs
@@ -3,10 +3,12 @@
 //! What is turned away costs no backend anything and is answered at once. Its connection ends with the answer:
 //! the rest of what such a client sends is not wanted, and may not mean what it seems to.
 
-use crate::call::{BODY_LIMIT, Call, end_to_end, without_own};
-use crate::names::{CUSTOMER, EXPIRES, IDEMPOTENCY_KEY, OBJECT, QOS, SECOND_TRY, SIZE_HINT, TRACE_ID};
-use crate::operator::{Operator, RunningPool, Version};
+use applemill_operator::{Operator, RunningPool, Version};
 use applemill_routes::{self as routes, Found, Header, normal_host, normal_path};
+use applemill_upstream::names::{
+    CUSTOMER, EXPIRES, IDEMPOTENCY_KEY, OBJECT, QOS, SECOND_TRY, SIZE_HINT, TRACE_ID,
+};
+use applemill_upstream::{BODY_LIMIT, Call, end_to_end, without_own};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::stable_hash;
 use bytes::{Bytes, BytesMut};
--- a/crates/node/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -1,11 +1,11 @@
 //! The client side: connections, what they ask, and the answers they get.
 
-use crate::call::Reply;
-use crate::log;
-use crate::operator::RunningPool;
 use crate::request::{Own, Reader, Reading, Turned, farewell, plain};
-use crate::socket::{Descriptors, Slot, Socket};
 use applemill_ledger::Answer;
+use applemill_log as log;
+use applemill_operator::RunningPool;
+use applemill_socket::{Descriptors, Slot, Socket};
+use applemill_upstream::Reply;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,8 +1,10 @@
 //! The command line. With no arguments it runs a node, as the platform starts it.
 
-use crate::operator::{self, FileError};
+use crate::print::print;
 use crate::setup::Setup;
-use crate::{config, demo, log, serve};
+use crate::{config, demo, serve};
+use applemill_log as log;
+use applemill_operator::{self as operator, FileError};
 use applemill_routes::{Platform, Request, Severity, explain, load_bytes, schema};
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
@@ -108,11 +110,6 @@
     }
 }
 
-/// Writes to standard output; a reader that has gone is no error.
-pub fn print(text: &str) {
-    let _ = std::io::stdout().write_all(text.as_bytes());
-}
-
 fn refuse(why: &str) -> ExitCode {
     let _ = writeln!(std::io::stderr(), "applemill: {why}");
     ExitCode::from(REFUSED)
--- a/crates/node/src/demo.rs
+++ b/crates/node/src/demo.rs
@@ -1,7 +1,7 @@
 //! The demonstration: a floor of stand-in servers within this process, a node with routes before it as a process of
 //! its own, a light stream of bids and pages, and a table of what became of them.
 
-use crate::cli::print;
+use crate::print::print;
 use applemill_stand_ins::{Auction, BID_ID, Client, Faults, Node};
 use serde_json::{Value, json};
 use std::error::Error;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,22 +1,11 @@
-//! One node: the decisions of the crate `birchspoke` on real sockets. Sockets, timers and files are here; no
-//! decision is.
+//! The program: the command line, what a node is made of, its start, reload and stop. What clients speak is the
+//! fronts', what goes to backends `applemill-upstream`'s, and every decision `birchspoke`'s.
 
-mod call;
 mod cli;
-mod clock;
 mod config;
 mod demo;
-mod discovery;
-mod driver;
-mod log;
-mod names;
-mod operator;
-mod peers;
-mod request;
+mod print;
 mod serve;
-mod server;
 mod setup;
-mod socket;
-mod upstream;
 
 pub use cli::main;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,16 +1,13 @@
 //! A node from its start to its end: what it is made of is put together here, and taken apart in order.
 
 use crate::config::Config;
-use crate::discovery::{self, Watch};
-use crate::driver::{Driver, Input, Shared};
-use crate::log;
-use crate::operator::{Operator, RunningPool};
-use crate::peers::Peers;
-use crate::request::Reader;
-use crate::server::Server;
-use crate::setup::{PoolSetup, Setup, Source};
-use crate::socket::Descriptors;
+use crate::setup::Setup;
+use applemill_front_http::{Reader, Server};
 use applemill_ledger::Limits;
+use applemill_log as log;
+use applemill_operator::{Operator, PoolSetup, RunningPool, Source};
+use applemill_socket::Descriptors;
+use applemill_upstream::{Driver, Input, Peers, Shared, Watch, listing};
 use birchspoke::Balancer;
 use birchspoke::interface::{ListKind, Settings};
 use std::error::Error;
@@ -109,7 +106,7 @@
     let (wish, wishes) = mpsc::unbounded_channel();
     let driver = Driver::new(balancer, reporting, parts.shared.clone(), wish, dialect);
     driver.take(Input::Start);
-    if let Some(known) = discovery::listing(&known, &names) {
+    if let Some(known) = listing(&known, &names) {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
     let moved = match source {
--- a/crates/node/src/setup.rs
+++ b/crates/node/src/setup.rs
@@ -1,45 +1,14 @@
 //! What a node is made of: from the platform's configuration, an operator's file, or both.
 
-use crate::call::Dialect;
 use crate::config::{Config, ConfigError};
-
-use crate::operator::{self, FileError, Operator};
-use applemill_ledger::Target;
-use birchspoke::interface::Settings;
-use birchspoke::wire::Names;
-use serde_json::Value;
+use applemill_operator::{self as operator, FileError, Operator, PoolSetup, Source};
+use applemill_upstream::Dialect;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use thiserror::Error;
 
-/// Where a pool's list comes from.
-pub enum Source {
-    /// From a discovery service, by the platform's protocol.
-    Discovery(SocketAddr),
-    /// From the file.
-    Fixed(Vec<Target>),
-}
-
-/// A pool of backends, for a node that starts.
-pub struct PoolSetup {
-    /// Its name.
-    pub name: String,
-    /// What its decisions go by.
-    pub settings: Settings,
-    /// Names of its classes, tenants and zones.
-    pub names: Rc<Names>,
-    /// Where its list comes from.
-    pub source: Source,
-    /// The list as last had, in discovery's form.
-    pub known: Value,
-    /// What is spoken there.
-    pub dialect: Dialect,
-    /// Classes of its settings that are not the operator's.
-    pub own_classes: usize,
-}
-
 /// The other nodes, where there may be messages between them.
 pub struct PeerSetup {
     /// Where their datagrams arrive.
--- a/crates/node/tests/node_faults.rs
+++ b/crates/node/tests/node_faults.rs
@@ -20,10 +20,10 @@
     let node = Node::start(discovery.address, |c| {
         c["settings"]["clientHabits"]["marksRetry"] = true.into();
     });
-    let usual = play_many(&node, "page", 4000, 40, 4);
+    let usual = play_many(node.address, "page", 4000, 40, 4);
     assert!(usual.iter().all(|s| *s == 200), "{usual:?}");
     // Held for last tries, they would be older than the aim, and of no worth.
-    let hurried = play_many(&node, "page", 1500, 40, 4);
+    let hurried = play_many(node.address, "page", 1500, 40, 4);
     assert!(hurried.iter().all(|s| *s == 200), "{hurried:?}");
 }
 
@@ -38,9 +38,10 @@
     let mut node = Node::start(discovery.address, |c| {
         c["settings"]["clientHabits"]["marksRetry"] = true.into();
     });
-    let patient = |node: &Node| play_many(node, "page", 4000, 40, 4).iter().filter(|s| **s == 200).count();
+    let patient =
+        |node: &Node| play_many(node.address, "page", 4000, 40, 4).iter().filter(|s| **s == 200).count();
     assert_eq!(patient(&node), 40);
-    let hurried = play_many(&node, "page", 60, 60, 4);
+    let hurried = play_many(node.address, "page", 60, 60, 4);
     assert!(hurried.iter().all(|s| *s != 200), "{hurried:?}");
     assert!(record.count() > 80, "{} written: those in a hurry are tried", record.count());
     assert_eq!(patient(&node), 40);
@@ -60,9 +61,9 @@
     });
     let discovery = Discovery::start(all_up(&addresses));
     let node = Node::start(discovery.address, |_| {});
-    let bids = play_many(&node, "bid", 900, 40, 1);
+    let bids = play_many(node.address, "bid", 900, 40, 1);
     assert_eq!((served(&bids), record.count()), (0, 40), "each is sent once and fails");
-    assert_eq!(play_many(&node, "page", 4000, 1, 1), [200]);
+    assert_eq!(play_many(node.address, "page", 4000, 1, 1), [200]);
     assert_eq!(record.count(), 42, "the page was sent again");
 }
 
@@ -80,8 +81,8 @@
     let node = Node::start(discovery.address, |c| c["settings"]["instances"] = 2.into());
     let mut pages = Vec::new();
     for _ in 0..25 {
-        assert_eq!(served(&play_many(&node, "bid", 900, 2, 1)), 0);
-        pages.extend(play_many(&node, "page", 4000, 1, 1));
+        assert_eq!(served(&play_many(node.address, "bid", 900, 2, 1)), 0);
+        pages.extend(play_many(node.address, "page", 4000, 1, 1));
     }
     assert!(served(&pages) >= 23, "{pages:?}");
 }
@@ -100,9 +101,9 @@
     });
     let (mut bids, mut pages) = (Vec::new(), Vec::new());
     for _ in 0..60 {
-        bids.extend(play_many(&node, "bid", 900, 4, 4));
+        bids.extend(play_many(node.address, "bid", 900, 4, 4));
         // So many that the backends are no failing ones.
-        pages.extend(play_many(&node, "page", 4000, 24, 4));
+        pages.extend(play_many(node.address, "page", 4000, 24, 4));
     }
     assert!(served(&bids) >= 170, "{} of 240 bids", served(&bids));
     assert!(served(&pages) >= 1300, "{} of 1440 pages", served(&pages));
--- /dev/null
+++ b/crates/operator/src/pool.rs
@@ -0,0 +1,47 @@
+//! A pool of backends: what it is made of, and as it runs.
+
+use applemill_ledger::Target;
+use applemill_upstream::{Dialect, Driver};
+use birchspoke::interface::Settings;
+use birchspoke::wire::Names;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Where a pool's list comes from.
+pub enum Source {
+    /// From a discovery service, by the platform's protocol.
+    Discovery(SocketAddr),
+    /// From the file.
+    Fixed(Vec<Target>),
+}
+
+/// A pool of backends, for a node that starts.
+pub struct PoolSetup {
+    /// Its name.
+    pub name: String,
+    /// What its decisions go by.
+    pub settings: Settings,
+    /// Names of its classes, tenants and zones.
+    pub names: Rc<Names>,
+    /// Where its list comes from.
+    pub source: Source,
+    /// The list as last had, in discovery's form.
+    pub known: Value,
+    /// What is spoken there.
+    pub dialect: Dialect,
+    /// Classes of its settings that are not the operator's.
+    pub own_classes: usize,
+}
+
+/// A pool that runs.
+pub struct RunningPool {
+    /// Its name.
+    pub name: String,
+    /// Its events and actions.
+    pub driver: Rc<Driver>,
+    /// Names of its tenants and zones.
+    pub names: Rc<Names>,
+    /// Classes of its settings that are not the operator's; his come behind them.
+    pub own_classes: usize,
+}
--- a/crates/node/src/operator.rs
+++ b/crates/operator/src/running.rs
@@ -1,178 +1,17 @@
-//! The operator's file in service: read from disk, turned into pools and classes of the decisions, and taken anew on
-//! a reload, whole or not at all. What the file says and whether it may is `applemill-routes`'.
-
-use crate::call::Dialect;
-use crate::driver::{Driver, Input};
-use crate::setup::{PoolSetup, Source};
-use applemill_ledger::Target;
-use applemill_routes::{
-    Chosen, DroppedBy, Effect as RouteEffect, File, LONGEST_FILE, Lease, MOST_PLANS, Plan, Platform,
-    PlatformClass, Pool, Report, Retry, Rules, Slots, load_bytes,
-};
-use birchspoke::interface::{
-    BackendId, Class, Effect, Entry, Group, Health, ListKind, RouteValues, Settings,
-};
-use birchspoke::wire::{self, Names, WireError, stable_hash};
-use serde_json::json;
+//! The version of the file that new requests are taken under, and how another takes its place.
+
+use crate::file::{FileError, load};
+use crate::pool::{PoolSetup, RunningPool, Source};
+use crate::settings::{class, settings, targets};
+use applemill_routes::{Chosen, File, Lease, MOST_PLANS, Platform, Pool, Rules, Slots};
+use applemill_upstream::{Dialect, Input};
+use birchspoke::interface::{Class, ListKind};
 use std::cell::RefCell;
-use std::io::Read;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 /// Places for classes beyond those that a node starts with: for what reloads bring.
 const SPARE: usize = 32;
-/// Worth of an answer after the aim and within the patience, beside one within the aim.
-const LATE_WORTH: f64 = 0.3;
-
-/// Why a file is not taken.
-#[derive(Debug, thiserror::Error)]
-pub enum FileError {
-    /// It cannot be read.
-    #[error("{path}: {reason}")]
-    Unread {
-        /// The file.
-        path: String,
-        /// Why.
-        reason: String,
-    },
-    /// The check refuses it.
-    #[error("{} is refused\n{}", .0, .1.text(.0))]
-    Refused(String, Report),
-    /// It is good, but not for the node that runs.
-    #[error("{0}: {1}")]
-    Restart(String, String),
-    /// What it says makes no settings.
-    #[error("{0}: {1}")]
-    Settings(String, WireError),
-}
-
-/// Reads a file whole; a folder, a pipe or one that is too long is none.
-///
-/// # Errors
-/// It cannot be read.
-pub fn read(path: &Path) -> Result<Vec<u8>, FileError> {
-    let unread = |reason: String| FileError::Unread { path: path.display().to_string(), reason };
-    let io = |e: std::io::Error| unread(e.to_string());
-    let about = std::fs::metadata(path).map_err(io)?;
-    if !about.is_file() {
-        return Err(unread("not a file".into()));
-    }
-    if about.len() > LONGEST_FILE {
-        return Err(unread(format!("{} bytes; {} MiB at most", about.len(), LONGEST_FILE >> 20)));
-    }
-    let mut bytes = Vec::new();
-    std::fs::File::open(path).map_err(io)?.take(LONGEST_FILE + 1).read_to_end(&mut bytes).map_err(io)?;
-    Ok(bytes)
-}
-
-/// Reads and checks a file. The report may have warnings.
-///
-/// # Errors
-/// It cannot be read, or is refused.
-pub fn load(path: &Path, platform: Option<&Platform>) -> Result<(Report, Rules), FileError> {
-    let bytes = read(path)?;
-    match load_bytes(&bytes, platform) {
-        (report, Some(rules)) => Ok((report, rules)),
-        (report, None) => Err(FileError::Refused(path.display().to_string(), report)),
-    }
-}
-
-/// What the platform's settings allow.
-pub fn platform(settings: &Settings, names: &Names) -> Platform {
-    let class = |(class, name): (&Class, &String)| {
-        let (effect, group) = match class.effect {
-            Effect::Safe => (RouteEffect::Safe, Group::All),
-            Effect::Keyed(group) => (RouteEffect::Keyed, group),
-            Effect::Unsafe => (RouteEffect::Unsafe, Group::All),
-        };
-        let dropped_by = match group {
-            Group::All => DroppedBy::Pool,
-            Group::Zone => DroppedBy::Zone,
-            Group::Cell => DroppedBy::Cell,
-        };
-        PlatformClass {
-            name: name.clone(),
-            effect,
-            patience_ms: class.deadline_ms,
-            dropped_by,
-            dropped_for_ms: class.key_ttl_ms,
-        }
-    };
-    Platform {
-        classes: settings.classes.iter().zip(names.classes()).map(class).collect(),
-        max_attempts: settings.max_attempts,
-        second_copies: settings.second_copies && settings.may_cancel,
-    }
-}
-
-/// A plan as a class of the decisions.
-fn class(file: &File, plan: &Plan) -> Option<Class> {
-    let class = file.classes.get(plan.class)?;
-    let group = match class.dropped_by.as_ref().map(|d| d.value) {
-        Some(DroppedBy::Pool) => Group::All,
-        Some(DroppedBy::Zone) => Group::Zone,
-        _ => Group::Cell,
-    };
-    Some(Class {
-        aim_ms: class.aim_ms.as_ref().map_or(plan.deadline_ms, |a| a.value.min(plan.deadline_ms)),
-        deadline_ms: plan.deadline_ms,
-        worth: class.worth.as_ref().map_or(1.0, |w| w.value),
-        late_worth: LATE_WORTH,
-        effect: match class.effect.as_ref().map(|e| e.value) {
-            Some(RouteEffect::Safe) => Effect::Safe,
-            Some(RouteEffect::Keyed) => Effect::Keyed(group),
-            _ => Effect::Unsafe,
-        },
-        key_ttl_ms: class.dropped_for_ms.as_ref().map_or(0.0, |d| d.value),
-        aim_stretch: 0.0,
-        route: RouteValues {
-            attempts: plan.attempts,
-            attempt_timeout_ms: plan.attempt_timeout_ms.unwrap_or(f64::INFINITY),
-            reruns: plan.retry == Retry::MayHaveRun,
-            second_copy_ms: plan.second_copy_ms.unwrap_or(f64::INFINITY),
-        },
-    })
-}
-
-/// Settings of a pool that no platform tells of; its classes are the places'.
-fn settings(file: &File, pool: &Pool) -> Result<(Settings, Names), WireError> {
-    let (node, fleet) = (&file.node, &file.fleet);
-    let mut zones: Vec<&str> =
-        pool.servers.iter().filter_map(|s| Some(s.zone.as_ref()?.value.as_str())).collect();
-    zones.extend(node.zone.iter().map(|z| z.value.as_str()));
-    zones.sort_unstable();
-    zones.dedup();
-    let tenants: Vec<_> =
-        file.tenants.iter().map(|t| json!({"name": t.name.value, "quotaRps": t.rate})).collect();
-    let settings = json!({
-        "areas": zones, "zone": node.zone.as_ref().map_or("", |z| &z.value),
-        "instances": fleet.nodes, "slotNo": fleet.number, "tickMs": 1.0, "membershipMode": "pushed",
-        "classes": [{"name": "none", "hardLimitMs": 1000.0}], "tenants": tenants, "overShareWorth": 0.1,
-        "limits": {"attemptsCap": 16, "mayCancel": true, "secondCopies": true, "retryAfter": node.retry_after,
-                   "maxRetryAfterMs": node.retry_after_max_ms, "openCap": node.open_requests, "maxStreams": 1,
-                   "connIdleMs": node.idle_timeout_ms, "connectTimeoutMs": node.connect_timeout_ms},
-        "rules": {"coldMs": fleet.cold_ms, "startCapacity": fleet.start_capacity,
-                  "fallMultiple": fleet.fall_multiple, "fallMs": fleet.fall_ms},
-    });
-    wire::settings(&settings.to_string())
-}
-
-/// A fixed list as the decisions and the driver need it.
-fn targets(pool: &Pool, names: &Names) -> Vec<Target> {
-    let target = |s: &applemill_routes::Server| Target {
-        entry: Entry {
-            // Two pools may each have a server of that name.
-            backend: BackendId(stable_hash(&format!("{}/{}", pool.name.value, s.name.value))),
-            zone: names.zone(s.zone.as_ref().map(|z| z.value.as_str())),
-            cell: s.cell.as_ref().map_or(0, |c| c.value),
-            health: Health::Up,
-            units: s.weight,
-            ready_at_ms: 0.0,
-        },
-        address: Some(s.address.value),
-    };
-    pool.servers.iter().map(target).collect()
-}
 
 /// One version of the file. A request holds the version that it was taken under.
 pub struct Version {
@@ -370,18 +209,6 @@
     node
 }
 
-/// A pool that runs.
-pub struct RunningPool {
-    /// Its name.
-    pub name: String,
-    /// Its events and actions.
-    pub driver: Rc<Driver>,
-    /// Names of its tenants and zones.
-    pub names: Rc<Names>,
-    /// Classes of its settings that are not the operator's; his come behind them.
-    pub own_classes: usize,
-}
-
 impl Version {
     /// Where a route's requests go; none where this is no version's that these pools serve.
     pub fn way(&self, chosen: &Chosen, pools: &[RunningPool]) -> Option<Way> {
--- a/crates/stand-ins/src/client.rs
+++ b/crates/stand-ins/src/client.rs
@@ -2,7 +2,6 @@
 
 use crate::PATIENCE;
 use crate::http::Message;
-use crate::node::Node;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -78,8 +77,13 @@
 }
 
 /// Plays requests of one class side by side, each on a connection of its own: `at_once` of them at a time.
-pub fn play_many(node: &Node, class: &str, given_ms: u64, count: usize, at_once: usize) -> Vec<u16> {
-    let address = node.address;
+pub fn play_many(
+    address: SocketAddr,
+    class: &str,
+    given_ms: u64,
+    count: usize,
+    at_once: usize,
+) -> Vec<u16> {
     let mut statuses = Vec::new();
     for _ in 0..count.div_ceil(at_once) {
         let asking: Vec<_> = (0..at_once)
--- a/crates/node/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -1,8 +1,8 @@
 //! What is sent to backends and what comes back, as HTTP: requests made from what clients asked, and answers read for
 //! what they mean. How long they are waited for, and what follows, is the ledger's.
 
+use crate::conn::Outgoing;
 use crate::names::{EXPIRES, LOAD, NEVER_RAN};
-use crate::upstream::Outgoing;
 use applemill_ledger::{Cargo, Finish};
 use birchspoke::interface::Outcome;
 use birchspoke::wire;
--- a/crates/node/src/upstream.rs
+++ b/crates/upstream/src/conn.rs
@@ -1,9 +1,9 @@
 //! A connection to a backend or to discovery, and the exchanges on it, one at a time. Which one carries what, and what
 //! becomes of it, is the ledger's; what is an answer, the crate `answers`'.
 
-use crate::socket::{Slot, Socket};
 use applemill_answers::{Limits, Reader, Spoilt, Whole};
 use applemill_ledger::{Heard, Written};
+use applemill_socket::{Slot, Socket};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::Response;
 use std::cell::Cell;
@@ -186,7 +186,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::socket::Descriptors;
+    use applemill_socket::Descriptors;
     use std::io::{Read, Write};
     use std::net::TcpListener;
 
--- a/crates/node/src/discovery.rs
+++ b/crates/upstream/src/discovery.rs
@@ -1,10 +1,10 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
+use crate::conn::{Conn, Outgoing};
 use crate::driver::{Driver, Input};
-use crate::log;
-use crate::socket::Descriptors;
-use crate::upstream::{Conn, Outgoing};
 use applemill_ledger::Target;
+use applemill_log as log;
+use applemill_socket::Descriptors;
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
 use hyper::StatusCode;
--- a/crates/node/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -5,11 +5,11 @@
 
 use crate::call::{self, BODY_LIMIT, Call, Dialect, Reply};
 use crate::clock::Clock;
-use crate::log;
+use crate::conn::{Conn, Failure};
 use crate::peers::Peers;
-use crate::socket::Descriptors;
-use crate::upstream::{Conn, Failure};
 use applemill_ledger::{Answer, Cargo, ConnId, Effect, Heard, Ledger, Limits, Wire, Written};
+use applemill_log as log;
+use applemill_socket::Descriptors;
 use birchspoke::Balancer;
 use birchspoke::interface::{Reporting, Request, RequestId};
 use std::cell::{Cell, RefCell};
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,16 @@
+//! A pool of backends on real sockets: its ledger's effects carried out, connections and what goes over them, the list
+//! from discovery, the messages of other nodes. Which server, whether again and what is refused is `birchspoke`'s; what
+//! is owed and out where, the ledger's; who asks is left to the fronts.
+
+mod call;
+mod clock;
+mod conn;
+mod discovery;
+mod driver;
+pub mod names;
+mod peers;
+
+pub use call::{BODY_LIMIT, Call, Dialect, Reply, end_to_end, without_own};
+pub use discovery::{Watch, listing};
+pub use driver::{Driver, Input, Shared, Ticket};
+pub use peers::Peers;
--- a/crates/node/src/peers.rs
+++ b/crates/upstream/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between nodes.
 
-use crate::log;
+use applemill_log as log;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
