--- /dev/null
+++ b/crates/flow/tests/memory.rs
@@ -0,0 +1,156 @@
+//! The memory: whatever happens in whatever order, nothing is lost, nobody starves, the reserve is untouched.
+
+use applemill_flow::{Cut, Flow, Lane, Memory, Room, Share, Terms};
+use proptest::prelude::*;
+
+const SHARE: Share = Share { total: 1000, reserve: 300, floor: 20, lanes: 12 };
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open,
+    Close(usize),
+    /// As much as it may, in hundredths.
+    Take(usize, usize),
+    Give(usize, usize),
+    Whole(usize),
+    Drop(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::Open),
+        1 => any::<usize>().prop_map(Step::Close),
+        6 => (any::<usize>(), 0_usize..=100).prop_map(|(n, part)| Step::Take(n, part)),
+        4 => (any::<usize>(), 0_usize..200).prop_map(|(n, bytes)| Step::Give(n, bytes)),
+        2 => (0_usize..400).prop_map(Step::Whole),
+        2 => any::<usize>().prop_map(Step::Drop),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_lost_nobody_starves_and_the_reserve_is_untouched(steps in prop::collection::vec(step(), 0..200)) {
+        let memory = Memory::new(SHARE);
+        let (mut lanes, mut rooms): (Vec<Lane>, Vec<(Room, usize)>) = (Vec::new(), Vec::new());
+        for step in steps {
+            match step {
+                Step::Open => lanes.extend(memory.lane()),
+                Step::Close(n) if !lanes.is_empty() => drop(lanes.swap_remove(n % lanes.len())),
+                Step::Take(n, part) if !lanes.is_empty() => {
+                    let n = n % lanes.len();
+                    let bytes = lanes[n].room(200) * part / 100;
+                    lanes[n].take(bytes);
+                }
+                Step::Give(n, bytes) if !lanes.is_empty() => {
+                    let n = n % lanes.len();
+                    lanes[n].give(bytes);
+                }
+                Step::Whole(bytes) => {
+                    let room = memory.room(bytes);
+                    let streams = memory.streams();
+                    let fits = memory.whole() + streams + bytes <= SHARE.total;
+                    prop_assert!(room.is_ok() || !fits, "{bytes} bytes fit and were refused");
+                    rooms.extend(room.map(|room| (room, bytes)));
+                }
+                Step::Drop(n) if !rooms.is_empty() => drop(rooms.swap_remove(n % rooms.len())),
+                _ => {}
+            }
+            let held: usize = lanes.iter().map(Lane::held).sum();
+            let whole: usize = rooms.iter().map(|(_, bytes)| bytes).sum();
+            prop_assert_eq!(memory.whole(), whole);
+            prop_assert_eq!(memory.lanes(), lanes.len());
+            let floors = lanes.iter().map(|l| l.held().max(SHARE.floor)).sum::<usize>();
+            prop_assert_eq!(memory.streams(), floors);
+            prop_assert!(held + whole <= SHARE.total, "{held} and {whole}");
+            prop_assert!(floors <= SHARE.total - SHARE.reserve, "the reserve is touched: {floors}");
+            for lane in &lanes {
+                prop_assert!(lane.held() + lane.room(200) >= SHARE.floor, "one cannot have its floor");
+            }
+        }
+        drop((lanes, rooms));
+        prop_assert_eq!((memory.lanes(), memory.streams(), memory.whole()), (0, 0, 0));
+    }
+
+    #[test]
+    fn who_wants_all_ends_up_with_as_much_as_the_others(count in 2_usize..12, turns in prop::collection::vec(any::<usize>(), 400)) {
+        let memory = Memory::new(SHARE);
+        let mut lanes: Vec<Lane> = (0..count).map(|_| memory.lane().unwrap()).collect();
+        for turn in turns {
+            let lane = &mut lanes[turn % count];
+            lane.take(lane.room(1000));
+            // Sinks that all take as fast.
+            lanes.iter_mut().for_each(|lane| lane.give(lane.held() / 10));
+        }
+        for _ in 0..60 {
+            for lane in &mut lanes {
+                lane.take(lane.room(1000));
+            }
+            lanes.iter_mut().for_each(|lane| lane.give(lane.held() / 10));
+        }
+        let (least, most) = lanes.iter().map(Lane::held).fold((1000, 0), |(a, b), h| (a.min(h), b.max(h)));
+        prop_assert!(most <= 2 * least + SHARE.floor, "from {least} to {most}");
+        prop_assert!(memory.lane().is_ok(), "nothing is left for one that comes");
+    }
+}
+
+#[test]
+fn there_are_as_many_as_there_may_be_and_no_more() {
+    let memory = Memory::new(SHARE);
+    let lanes: Vec<Lane> = (0..12).map(|_| memory.lane().unwrap()).collect();
+    assert!(memory.lane().is_err());
+    drop(lanes);
+    assert!(memory.lane().is_ok());
+    // A floor for each, or none.
+    let memory = Memory::new(Share { lanes: 100, ..SHARE });
+    let lanes: Vec<Lane> = std::iter::from_fn(|| memory.lane().ok()).collect();
+    assert_eq!(lanes.len(), 35);
+    assert!(memory.room(300).is_ok(), "the reserve is there whatever streams do");
+}
+
+fn flow(memory: &Memory, replay: usize) -> Flow {
+    let terms = Terms { size: 500, hold: 100, replay, slowest: None, longest_ms: 1000.0 };
+    Flow::new(0.0, terms, memory.lane().unwrap())
+}
+
+#[test]
+fn what_has_gone_is_kept_until_more_came_than_may_go_again() {
+    let memory = Memory::new(SHARE);
+    let mut flow = flow(&memory, 50);
+    flow.came(0.0, 40).unwrap();
+    flow.went(0.0, 40);
+    assert!(flow.whole() && flow.again(1.0));
+    assert_eq!((flow.waiting(), flow.held()), (40, 40));
+    flow.went(2.0, 30);
+    flow.came(3.0, 11).unwrap();
+    assert!(!flow.whole() && !flow.again(4.0));
+    assert_eq!((flow.waiting(), flow.held()), (21, 21));
+}
+
+#[test]
+fn what_is_kept_never_stands_in_the_way() {
+    // Little is free, and what is kept takes all of it.
+    let memory = Memory::new(SHARE);
+    let mut flow = flow(&memory, 100);
+    let room = memory.room(980).unwrap();
+    flow.came(0.0, flow.room()).unwrap();
+    assert_eq!(flow.room(), 0);
+    flow.went(1.0, flow.waiting());
+    assert!(!flow.whole() && flow.room() > 0);
+    drop(room);
+}
+
+#[test]
+fn size_and_time_end_a_stream() {
+    let memory = Memory::new(SHARE);
+    let mut flow = flow(&memory, 0);
+    for n in 0..5 {
+        flow.came(f64::from(n), 100).unwrap();
+        assert_eq!(flow.room(), 0, "no more than is held at once");
+        flow.went(f64::from(n), 100);
+    }
+    assert_eq!(flow.came(5.0, 1), Err(Cut::TooMuch));
+    assert_eq!((flow.came_in_all(), flow.held()), (500, 0));
+    assert_eq!(flow.look_ms(), 1000.0);
+    assert_eq!(flow.look(999.0), Ok(()));
+    assert_eq!(flow.look(1000.0), Err(Cut::TooLong));
+}
--- /dev/null
+++ b/crates/flow/tests/pace.rs
@@ -0,0 +1,154 @@
+//! Paces: who is too slow, and that nobody is who only had to wait for others.
+
+use applemill_flow::{Cut, Flow, Memory, Pace, Share, Slowest, Terms};
+use proptest::prelude::*;
+
+const SLOWEST: Slowest = Slowest { bytes: 80, window_ms: 800.0 };
+
+/// Waits from 0 on with these moves, looked at when planned unless the node stands still, until `end`; when it is cut.
+/// What comes while the node stands still is told at its end.
+fn cut_at(moves: &[(f64, usize)], still: Option<(f64, f64)>, end: f64) -> Option<f64> {
+    let mut pace = Pace::new(SLOWEST);
+    pace.awaited(0.0, true);
+    let seen = |at: f64| still.map_or(at, |(from, to)| if at >= from && at < to { to } else { at });
+    let mut moves = moves.iter().map(|(at, bytes)| (seen(*at), *bytes)).collect::<Vec<_>>();
+    moves.reverse();
+    loop {
+        let look = seen(pace.look_ms().unwrap());
+        // After a standstill the timer may be first: that is the worse for it.
+        match moves.last().copied().filter(|(at, _)| *at < look) {
+            Some((at, bytes)) if at <= end => {
+                moves.pop();
+                pace.moved(at, bytes);
+            }
+            _ if look > end => return None,
+            _ => {
+                if !pace.look(look) {
+                    return Some(look);
+                }
+            }
+        }
+    }
+}
+
+/// Is at no moment behind by more than what a window asks for.
+fn never_behind(moves: &[(f64, usize)], end: f64) -> bool {
+    let per_ms = SLOWEST.bytes as f64 / SLOWEST.window_ms;
+    let (mut owed, mut last) = (0.0_f64, 0.0);
+    moves.iter().copied().chain([(end, 0)]).all(|(at, bytes)| {
+        owed += (at - last) * per_ms;
+        last = at;
+        let good = owed <= SLOWEST.bytes as f64;
+        owed = (owed - bytes as f64).max(0.0);
+        good
+    })
+}
+
+#[test]
+fn a_pause_of_just_the_window_is_no_fault_and_a_longer_one_is() {
+    assert_eq!(cut_at(&[(0.0, 80), (800.0, 80), (1600.0, 80)], None, 2400.0), None);
+    let cut = cut_at(&[], None, 10_000.0).unwrap();
+    assert!((900.0..=1000.0).contains(&cut), "cut at {cut}");
+}
+
+#[test]
+fn what_moves_fast_is_not_saved_up() {
+    let cut = cut_at(&[(0.0, 1_000_000)], None, 10_000.0).unwrap();
+    assert!(cut <= 1000.0, "cut at {cut}");
+}
+
+#[test]
+fn half_the_pace_is_cut_after_two_windows() {
+    let moves: Vec<(f64, usize)> = (1..100).map(|n| (f64::from(n) * 40.0, 2)).collect();
+    let cut = cut_at(&moves, None, 10_000.0).unwrap();
+    assert!((1600.0..=2000.0).contains(&cut), "cut at {cut}");
+}
+
+proptest! {
+    #[test]
+    fn who_moves_enough_in_every_window_is_never_cut(gaps in prop::collection::vec((1.0_f64..800.0, 0_usize..50), 1..40)) {
+        let mut at = 0.0;
+        let moves: Vec<(f64, usize)> = gaps.iter().map(|(gap, more)| {
+            at += gap;
+            (at, 80 + more)
+        }).collect();
+        prop_assert_eq!(cut_at(&moves, None, at), None);
+    }
+
+    #[test]
+    fn a_pause_of_this_node_cuts_nobody(
+        gaps in prop::collection::vec((1.0_f64..700.0, 1_usize..200), 1..20),
+        part in 0.0_f64..1.0,
+        length in 130.0_f64..60_000.0,
+    ) {
+        let mut at = 0.0;
+        let moves: Vec<(f64, usize)> = gaps.iter().map(|(gap, bytes)| {
+            at += gap;
+            (at, *bytes)
+        }).collect();
+        let end = at + 300.0;
+        let from = end * part;
+        prop_assume!(never_behind(&moves, end));
+        // The same on a clock that the pause has moved, all that falls into it told at its end.
+        let later: Vec<(f64, usize)> =
+            moves.iter().map(|(at, bytes)| (if *at >= from { at + length } else { *at }, *bytes)).collect();
+        let cut = cut_at(&later, Some((from, from + length)), end + length);
+        prop_assert_eq!(cut, None);
+    }
+}
+
+#[test]
+fn a_node_that_stands_still_again_and_again_cuts_nobody_who_keeps_pace_while_it_runs() {
+    let mut pace = Pace::new(SLOWEST);
+    let mut now = 0.0;
+    pace.awaited(now, true);
+    for _ in 0..200 {
+        now += 50.0;
+        pace.moved(now, 5);
+        now += 1000.0;
+        assert!(pace.look(now), "cut at {now}");
+    }
+}
+
+fn flow(slowest: Slowest) -> Flow {
+    let memory = Memory::new(Share { total: 1000, reserve: 0, floor: 100, lanes: 4 });
+    let terms = Terms { size: 10_000, hold: 100, replay: 0, slowest: Some(slowest), longest_ms: 1e6 };
+    Flow::new(0.0, terms, memory.lane().unwrap())
+}
+
+/// Looks whenever that is due, until `end`.
+fn look_until(flow: &mut Flow, end: f64) -> Result<(), Cut> {
+    while flow.look_ms() <= end {
+        flow.look(flow.look_ms())?;
+    }
+    Ok(())
+}
+
+#[test]
+fn each_side_is_held_to_its_own_pace_alone() {
+    // The source is waited for while there is room, and only then.
+    assert_eq!(look_until(&mut flow(SLOWEST), 5000.0), Err(Cut::SlowSource));
+    let mut full = flow(SLOWEST);
+    full.came(0.0, 100).unwrap();
+    assert_eq!(look_until(&mut full, 5000.0), Err(Cut::SlowSink));
+    // Once all has come, nothing is asked of the source; once all has gone, nothing of anybody.
+    let mut over = flow(SLOWEST);
+    over.came(0.0, 50).unwrap();
+    over.ended(0.0);
+    over.went(10.0, 50);
+    assert_eq!(look_until(&mut over, 100_000.0), Ok(()));
+}
+
+#[test]
+fn a_pause_of_the_source_does_not_count_against_the_sink() {
+    let slowest = Slowest { bytes: 10, window_ms: 800.0 };
+    let mut flow = flow(slowest);
+    let mut now = 0.0;
+    for _ in 0..50 {
+        // The source is as slow as it may be; the sink takes it all at once.
+        now += 790.0;
+        assert_eq!(look_until(&mut flow, now), Ok(()));
+        flow.came(now, 10).unwrap();
+        flow.went(now, 10);
+    }
+}
