--- a/crates/upstream/src/streamed.rs
+++ b/crates/upstream/src/streamed.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Read at once, in bytes.
-const READ: usize = 32 * 1024;
+const READ: usize = 64 * 1024;
 
 /// How an exchange ended well.
 pub enum End {
--- a/scripts/stream-peers.py
+++ b/scripts/stream-peers.py
@@ -79,10 +79,10 @@
             digest.update(part)
         yield f"http.client down {framing}", digest.hexdigest() == right
     conn.close()
-    conn.request("PUT", "/up", body=blocks(), headers={"Content-Length": str(len(BLOCK) * BLOCKS)})
+    conn.request("PUT", "/in", body=blocks(), headers={"Content-Length": str(len(BLOCK) * BLOCKS)})
     yield "http.client up sized", json.load(conn.getresponse())["sha256"] == right
     conn.close()
-    conn.putrequest("PUT", "/up")
+    conn.putrequest("PUT", "/in")
     conn.putheader("Transfer-Encoding", "chunked")
     conn.putheader("Trailer", "X-Sum")
     conn.endheaders()
@@ -103,7 +103,7 @@
                 for part in answer.iter_raw():
                     digest.update(part)
             yield f"httpx down {framing}", digest.hexdigest() == right
-        yield "httpx up chunked", client.put(f"{base}/up", content=blocks()).json()["sha256"] == right
+        yield "httpx up chunked", client.put(f"{base}/in", content=blocks()).json()["sha256"] == right
 
 
 async def by_aiohttp(port, right):
@@ -115,14 +115,14 @@
                 async for part in answer.content.iter_any():
                     digest.update(part)
             done.append((f"aiohttp down {framing}", digest.hexdigest() == right))
-        async with session.put(f"{base}/up", data=ablocks()) as answer:
+        async with session.put(f"{base}/in", data=ablocks()) as answer:
             done.append(("aiohttp up chunked", (await answer.json())["sha256"] == right))
     return done
 
 
 async def main():
     app = web.Application(client_max_size=1 << 40)
-    app.add_routes([web.get("/down/{framing}", download), web.put("/up", upload)])
+    app.add_routes([web.get("/down/{framing}", download), web.put("/in", upload)])
     runner = web.AppRunner(app)
     await runner.setup()
     server, listen = free_port(), free_port()
