Tests: uploads and begun answers in the ledger and the decisions, case by case

Need: the new rules had the explorer and the node's tests alone.

Change: an upload's times, what goes again, what acts on a part, an answer that has begun, and the places of bodies that still come.

Result: seen red with the times of the decisions not moved, and with places never given back.

--- a/crates/birchspoke/tests/behaviour.rs
+++ b/crates/birchspoke/tests/behaviour.rs
@@ -1034,3 +1034,40 @@
     assert_eq!(attempts_until_answered(&mut w, id), 1);
     assert_eq!(w.answer(id), Some("failed"), "unsafe now: no promise that it did not run");
 }
+
+// ---- bodies that are still coming ----
+
+#[test]
+fn a_body_that_still_comes_holds_no_place_and_its_time_counts_from_its_last_byte() {
+    let mut w = safe(1);
+    let upload = |w: &mut World, id, took_ms| w.feed(Event::Upload { id, attempt: 0, took_ms });
+    let coming: Vec<_> = (0..100)
+        .map(|_| {
+            let id = w.ask(0, Some(7));
+            assert!(w.at(id).is_some(), "those before hold places");
+            upload(&mut w, id, None);
+            id
+        })
+        .collect();
+    // Past the aim; to the decisions it has just begun, so that it may still go elsewhere.
+    w.list(ListKind::Changes, vec![up(2)]);
+    w.now += 600.0;
+    upload(&mut w, coming[0], Some(600.0));
+    w.end(coming[0], Outcome::Full);
+    let sent = |w: &World, id| {
+        w.trace.iter().filter(|a| matches!(a, Action::Send { id: i, .. } if *i == id)).count()
+    };
+    assert_eq!(sent(&w, coming[0]), 2, "its time is held to be up");
+    // Those whose last byte has left take places again: the first is full, and the second soon.
+    for id in &coming[1..] {
+        upload(&mut w, *id, Some(600.0));
+    }
+    let more: Vec<_> = (0..60).map(|_| w.ask(0, Some(7))).collect();
+    assert!(
+        more.iter().all(|id| w
+            .trace
+            .iter()
+            .all(|a| !matches!(a, Action::Send { id: i, backend: BackendId(1), .. } if i == id))),
+        "the first has no place"
+    );
+}
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -30,13 +30,17 @@
 impl Rig {
     /// Class 0 is safe to repeat, class 1 is not; one backend is up.
     fn new() -> Rig {
+        Rig::acting_on(true)
+    }
+
+    fn acting_on(acts_on_part: bool) -> Rig {
         let settings = r#"{"classes": [
             {"name": "page", "semantics": "idempotent", "objectiveMs": 400, "hardLimitMs": 400},
             {"name": "bid", "semantics": "at_most_once", "objectiveMs": 400, "hardLimitMs": 400}],
             "limits": {"attemptsCap": 3, "mayCancel": true, "connIdleMs": 1000, "connectTimeoutMs": 100},
             "rules": {"coldMs": 0, "startCapacity": 1, "fallMultiple": 2, "fallMs": 600000, "drainGraceMs": 100, "mustAskInMs": 10000}}"#;
         let (settings, _) = wire::settings(settings).unwrap();
-        let limits = Limits { connect_ms: 100.0, idle_ms: 1000.0, acts_on_part: true };
+        let limits = Limits { connect_ms: 100.0, idle_ms: 1000.0, acts_on_part };
         let mut rig = Rig { ledger: Ledger::new(Balancer::new(settings, 1).unwrap(), limits), now: 1000.0 };
         rig.take(Input::Start);
         rig.list(vec![line(1, at(1), Health::Up)]);
@@ -243,3 +247,114 @@
     assert_eq!(rig.ledger.sums(), Sums::default());
     assert_eq!(answers(&rig.ask(2, 0)), [((7, 2), Answer::Refused { retry_after_ms: 0.0 })]);
 }
+
+/// An upload whose client waits 399 ms once its last byte has left, on connection 0, which stands.
+fn upload(rig: &mut Rig, class: usize) {
+    let request = Request {
+        id: RequestId(0),
+        class,
+        tenant: None,
+        key: Some(0),
+        deadline_ms: rig.now + 5396.0,
+        effort_ms: None,
+        retry: false,
+    };
+    let expires_ms = rig.now + 5399.0;
+    let arrived =
+        Input::Arrived { request, expires_ms, upload_ms: Some(399.0), call: "call", owed: (7, 0) };
+    assert!(matches!(rig.take(arrived)[..], [Effect::Dial(ConnId(0), _)]));
+    assert!(send(0, false)(&rig.connect(0)[0]));
+}
+
+#[test]
+fn an_upload_takes_its_clients_time_and_its_backends_begins_with_the_last_byte() {
+    let mut rig = Rig::new();
+    upload(&mut rig, 1);
+    assert_eq!(rig.wire(0, Wire::Progress(Written::Part, Heard::Nothing)), []);
+    rig.now += 3000.0;
+    assert_eq!(rig.take(Input::Due), [], "nothing of its own falls due while it comes");
+    assert_eq!(rig.wire(0, Wire::Progress(Written::Whole, Heard::Nothing)), []);
+    let late = rig.now + 398.0;
+    while rig.ledger.next_due_ms().unwrap() < late {
+        let out = rig.due();
+        assert!(answers(&out).is_empty() || rig.now >= late - 10.0, "failed at {}", rig.now);
+    }
+    rig.now = late + 2.0;
+    rig.take(Input::Due);
+    assert_eq!(rig.ledger.sums().requests, 0, "its client's patience has begun");
+}
+
+#[test]
+fn an_upload_of_which_not_all_is_held_goes_once() {
+    for (class, spent) in [(0, false), (0, true), (1, false)] {
+        let mut rig = Rig::new();
+        rig.list(vec![line(2, at(2), Health::Up)]);
+        upload(&mut rig, class);
+        rig.wire(0, Wire::Progress(Written::Part, Heard::Nothing));
+        if spent {
+            rig.take(Input::Spent(RequestId(0)));
+        }
+        let out = rig.wire(0, Wire::Broke);
+        let again = out.iter().any(|e| matches!(e, Effect::Dial(..)));
+        assert_eq!(again, class == 0 && !spent, "class {class}, spent {spent}: {out:?}");
+        assert_eq!(answers(&out).len(), usize::from(!again), "an answer at once, and one");
+    }
+}
+
+#[test]
+fn a_part_never_ran_where_backends_act_on_the_whole_only() {
+    for (acts_on_part, heard, again) in
+        [(true, Heard::Nothing, false), (false, Heard::Nothing, true), (false, Heard::Begun, false)]
+    {
+        let mut rig = Rig::acting_on(acts_on_part);
+        rig.list(vec![line(2, at(2), Health::Up)]);
+        rig.ask(0, 1);
+        rig.connect(0);
+        rig.wire(0, Wire::Progress(Written::Part, heard));
+        let out = rig.wire(0, Wire::Broke);
+        assert_eq!(out.iter().any(|e| matches!(e, Effect::Dial(..))), again, "{acts_on_part} {heard:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_has_begun_is_the_answer_and_its_connection_goes_on_through_a_notice() {
+    let begun =
+        || Wire::Begun(Finish { outcome: Outcome::Done, reply: Some("reply"), load: Load::default() });
+    let ended = || Wire::Whole { finish: Outcome::Done.into(), again: true };
+    let mut rig = Rig::new();
+    rig.ask(0, 0);
+    rig.connect(0);
+    // To what was not asked there is none.
+    let mut early = Rig::new();
+    early.ask(0, 0);
+    early.connect(0);
+    let out = early.wire(0, begun());
+    assert!(!matches!(answers(&out)[..], [(_, Answer::Served(_))]), "{out:?}");
+    rig.wire(0, Wire::Progress(Written::Whole, Heard::Begun));
+    assert_eq!(answers(&rig.wire(0, begun())), [((7, 0), Answer::Served("reply"))]);
+    assert_eq!(rig.ledger.sums(), Sums { requests: 0, busy: 1, kept: 0, timers: 0 });
+    rig.take(Input::Left(RequestId(0)));
+    assert_eq!(rig.list(vec![line(1, at(1), Health::Draining)]), []);
+    assert_eq!(rig.wire(0, ended()), [Effect::Close(ConnId(0))], "its backend drains: not kept");
+    // Kept where its backend is up; closed where it breaks off or nobody wants the rest, and at the stop.
+    for (wire, out, kept) in [
+        (ended(), vec![], 1),
+        (Wire::Broke, vec![Effect::Close(ConnId(0))], 0),
+        (Wire::Spoilt, vec![Effect::Close(ConnId(0))], 0),
+        (Wire::Unwanted, vec![Effect::Close(ConnId(0))], 0),
+    ] {
+        let mut rig = Rig::new();
+        rig.ask(0, 0);
+        rig.connect(0);
+        rig.wire(0, Wire::Progress(Written::Whole, Heard::Begun));
+        rig.wire(0, begun());
+        assert_eq!(rig.wire(0, wire), out);
+        assert_eq!(rig.ledger.sums(), Sums { requests: 0, busy: 0, kept, timers: 0 });
+    }
+    let mut rig = Rig::new();
+    rig.ask(0, 0);
+    rig.connect(0);
+    rig.wire(0, Wire::Progress(Written::Whole, Heard::Begun));
+    rig.wire(0, begun());
+    assert_eq!(rig.take(Input::Stop), [Effect::Close(ConnId(0))]);
+}
