--- a/crates/flow/tests/memory.rs
+++ b/crates/flow/tests/memory.rs
@@ -154,3 +154,28 @@
     assert_eq!(flow.look(999.0), Ok(()));
     assert_eq!(flow.look(1000.0), Err(Cut::TooLong));
 }
+
+#[test]
+fn while_something_waits_it_comes_in_parts_and_little_room_is_none() {
+    let memory = Memory::new(SHARE);
+    let mut flow = flow(&memory, 0);
+    assert_eq!(flow.room(), 100, "all of what may be held, while nothing waits");
+    flow.came(0.0, 50).unwrap();
+    assert_eq!(flow.room(), 25, "a quarter of it");
+    flow.came(0.0, 38).unwrap();
+    assert_eq!(flow.room(), 12, "an eighth is worth reading");
+    flow.came(0.0, 1).unwrap();
+    assert_eq!(flow.room(), 0, "less is not");
+}
+
+#[test]
+fn as_much_as_may_go_again_is_kept_and_what_still_waits_is_not_in_the_way() {
+    let memory = Memory::new(SHARE);
+    let mut just = flow(&memory, 50);
+    just.came(0.0, 50).unwrap();
+    assert!(just.whole());
+    // Full of what waits: it is the sink's turn, and nothing needs to be let go.
+    let mut full = flow(&memory, 100);
+    full.came(0.0, 100).unwrap();
+    assert!(full.whole() && full.room() == 0);
+}
--- a/crates/flow/tests/pace.rs
+++ b/crates/flow/tests/pace.rs
@@ -99,14 +99,17 @@
 
 #[test]
 fn a_node_that_stands_still_again_and_again_cuts_nobody_who_keeps_pace_while_it_runs() {
-    let mut pace = Pace::new(SLOWEST);
-    let mut now = 0.0;
-    pace.awaited(now, true);
-    for _ in 0..200 {
-        now += 50.0;
-        pace.moved(now, 5);
-        now += 1000.0;
-        assert!(pace.look(now), "cut at {now}");
+    // The look is due 50 ms after the move: the shorter pause makes it late by half the time between two.
+    for pause in [1000.0, 100.0] {
+        let mut pace = Pace::new(SLOWEST);
+        let mut now = 0.0;
+        pace.awaited(now, true);
+        for _ in 0..200 {
+            now += 50.0;
+            pace.moved(now, 5);
+            now += pause;
+            assert!(pace.look(now), "cut at {now}");
+        }
     }
 }
 
@@ -152,3 +155,35 @@
         flow.went(now, 10);
     }
 }
+
+#[test]
+fn looks_come_an_eighth_of_the_window_apart_and_an_early_one_changes_nothing() {
+    let mut pace = Pace::new(SLOWEST);
+    assert_eq!(pace.look_ms(), None);
+    pace.awaited(500.0, true);
+    assert_eq!(pace.look_ms(), Some(600.0));
+    assert!(pace.look(550.0));
+    assert_eq!(pace.look_ms(), Some(600.0));
+    assert!(pace.look(600.0));
+    assert_eq!(pace.look_ms(), Some(700.0));
+    pace.awaited(650.0, false);
+    assert_eq!(pace.look_ms(), None);
+}
+
+#[test]
+fn who_has_caught_up_is_behind_no_more() {
+    for caught_up in [90, 10] {
+        let mut pace = Pace::new(SLOWEST);
+        pace.awaited(0.0, true);
+        for look in 1..=9 {
+            assert!(pace.look(f64::from(look) * 100.0));
+        }
+        // 90 are due, more than a window's 80: the next look would be the second.
+        pace.moved(900.0, caught_up);
+        let behind_at = if caught_up == 90 { 18 } else { 10 };
+        for look in 10..=behind_at {
+            assert!(pace.look(f64::from(look) * 100.0), "cut at look {look} having moved {caught_up}");
+        }
+        assert!(!pace.look(f64::from(behind_at + 1) * 100.0));
+    }
+}
