--- a/crates/measure/src/streams.rs
+++ b/crates/measure/src/streams.rs
@@ -189,7 +189,7 @@
     let wrong = of(&seen.hash_wrong);
     let as_whole = of(&seen.cut_as_whole);
     let ended = of(&seen.ended_whole);
-    let kept = over_idle < MOST_MEMORY_MB * count as f64 / 1000.0 + 8.0
+    let kept = over_idle < MOST_MEMORY_MB * (count as f64 / 1000.0).max(0.25)
         && growth < MOST_GROWTH_MB
         && bid_ratio <= MOST_P99
         && beside.late == 0
--- a/crates/upstream/src/streamed.rs
+++ b/crates/upstream/src/streamed.rs
@@ -16,8 +16,10 @@
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Read at once, in bytes.
+/// Read at once of a body that is passed on, in bytes.
 const READ: usize = 64 * 1024;
+/// And before that: what comes behind the head is held beside what the stream may hold.
+const FIRST_READ: usize = 8 * 1024;
 
 /// How an exchange ended well.
 pub enum End {
@@ -203,7 +205,7 @@
                 return Poll::Ready(Err(Failure::Unwanted));
             }
             let room = match &mut self.answer {
-                In::Reader(_) => READ,
+                In::Reader(_) => FIRST_READ,
                 In::Over => return Poll::Pending,
                 In::Passing(pieces, feed) => {
                     // Its client may leave with the last byte: the end waits for no room, or the connection were lost.
