--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -315,6 +315,9 @@
     trial: bool,
 }
 
+/// An attempt's outcome, whether it was in its aim, the time it took, the time it was allowed, and its worth.
+type End = (Outcome, bool, f64, f64, f64);
+
 #[derive(Clone, Debug)]
 struct Open {
     request: Request,
@@ -422,6 +425,7 @@
             Event::Ended { .. } => self.on_ended(now, &event, out),
             Event::Left(id) => self.on_left(id, out),
             Event::Upload { id, attempt, took_ms } => self.on_upload(id, attempt, took_ms),
+            Event::CutShort(b) => self.find(b).into_iter().for_each(|i| self.note(now, i, true, out)),
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
             Event::Probed { backend, outcome, .. } => {
@@ -1049,7 +1053,7 @@
                     _ => self.trial_over(now, i, answered, out),
                 }
             } else if !own_stall {
-                self.learn(now, i, class, (outcome, in_aim, elapsed, allowed), worth, out);
+                self.learn(now, i, class, (outcome, in_aim, elapsed, allowed, worth), out);
             }
         }
         if let Some(l) = self.learned.get_mut(class).filter(|_| in_aim) {
@@ -1100,16 +1104,8 @@
     }
 
     /// What an attempt's end says of its backend and of the fleet.
-    fn learn(
-        &mut self,
-        now: f64,
-        i: usize,
-        class: usize,
-        (outcome, in_aim, elapsed, allowed): (Outcome, bool, f64, f64),
-        worth: f64,
-        out: &mut Vec<Action>,
-    ) {
-        let window = self.window();
+    fn learn(&mut self, now: f64, i: usize, class: usize, end: End, out: &mut Vec<Action>) {
+        let (outcome, in_aim, elapsed, allowed, worth) = end;
         let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
         // That a client in a hurry did not wait says nothing of the backend: held for failures, many would
         // close backends and admission to all. A silent one shows by those that wait; it hurts where none do.
@@ -1183,9 +1179,15 @@
             b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
         }
         self.fleet_failing += 0.02 * (f64::from(u8::from(failed)) - self.fleet_failing);
-        if !matches!(outcome, Outcome::Done) && !failed {
-            return;
+        if outcome != Outcome::Full {
+            self.note(now, i, failed, out);
         }
+    }
+
+    /// Takes a success or a failure into a backend's record, which may trip it.
+    fn note(&mut self, now: f64, i: usize, failed: bool, out: &mut Vec<Action>) {
+        let window = self.window();
+        let b = &mut self.backends[i];
         b.record.note(now, window, failed);
         if !failed {
             return;
--- a/crates/birchspoke/src/interface.rs
+++ b/crates/birchspoke/src/interface.rs
@@ -431,6 +431,9 @@
         /// How long it took, in milliseconds; none at its begin.
         took_ms: Option<f64>,
     },
+    /// The body of an answer that had begun was cut short by its backend: it came too slowly, or broke off. Its attempt had
+    /// ended with its head.
+    CutShort(BackendId),
     /// An attempt is over.
     Ended {
         /// The request.
--- a/crates/ledger/src/interface.rs
+++ b/crates/ledger/src/interface.rs
@@ -139,6 +139,8 @@
     Begun(Finish<R>),
     /// Nobody wants the rest of an answer that has begun.
     Unwanted,
+    /// The rest of an answer that has begun comes too slowly, though it is waited for.
+    TooSlow,
     /// What came is no answer. Whoever sent it is there, and may have run the request.
     Spoilt,
     /// It broke or ended.
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -131,9 +131,13 @@
             (Conn::Streaming(backend, address), Wire::Whole { again, .. }) => {
                 self.settle_down(id, backend, address, again, out);
             }
-            (Conn::Streaming(backend, _), Wire::Broke) => {
+            (Conn::Streaming(backend, _), cut @ (Wire::Broke | Wire::TooSlow)) => {
                 out.push(Effect::Close(id));
-                self.release(backend, out);
+                if matches!(cut, Wire::Broke) {
+                    self.release(backend, out);
+                }
+                // Otherwise one that always drips would look as good as its heads are quick.
+                self.news.push_back(Event::CutShort(backend));
             }
             (Conn::Streaming(..), Wire::Spoilt | Wire::Unwanted) => out.push(Effect::Close(id)),
             (Conn::Kept(backend), Wire::Stale | Wire::Broke | Wire::Spoilt) => {
@@ -189,7 +193,7 @@
                 self.end(&e.job, e.spoilt().into(), out);
                 return;
             }
-            Wire::Broke | Wire::Stale | Wire::Unwanted => {
+            Wire::Broke | Wire::Stale | Wire::Unwanted | Wire::TooSlow => {
                 self.timers.clear(e.timer);
                 self.note(&e, e.heard == Heard::Nothing);
                 out.push(Effect::Close(id));
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -342,6 +342,7 @@
         (Wire::Broke, vec![Effect::Close(ConnId(0))], 0),
         (Wire::Spoilt, vec![Effect::Close(ConnId(0))], 0),
         (Wire::Unwanted, vec![Effect::Close(ConnId(0))], 0),
+        (Wire::TooSlow, vec![Effect::Close(ConnId(0))], 0),
     ] {
         let mut rig = Rig::new();
         rig.ask(0, 0);
--- a/crates/planted/src/edits.rs
+++ b/crates/planted/src/edits.rs
@@ -239,10 +239,12 @@
         name: "a stream that breaks off is kept",
         changes: &[(
             "wire.rs",
-            "(Conn::Streaming(backend, _), Wire::Broke) => {
+            "(Conn::Streaming(backend, _), cut @ (Wire::Broke | Wire::TooSlow)) => {
                 out.push(Effect::Close(id));
-                self.release(backend, out);",
-            "(Conn::Streaming(backend, address), Wire::Broke) => {
+                if matches!(cut, Wire::Broke) {
+                    self.release(backend, out);
+                }",
+            "(Conn::Streaming(backend, address), Wire::Broke | Wire::TooSlow) => {
                 self.settle_down(id, backend, address, true, out);",
         )],
         scenarios: &["stream", "stream-reuse"],
--- a/crates/stand-ins/src/streams.rs
+++ b/crates/stand-ins/src/streams.rs
@@ -77,11 +77,17 @@
 
 /// Starts a floor server of streams. By its path, a request is answered with
 /// `/sized/N` or `/chunked/N` (the latter with its hash in a trailer): N bytes as fast as they are read;
-/// `/short/N/M`: a length of N, and M of them; `/broken/M`: M bytes in chunks with no last one;
+/// `/short/N/M`: a length of N, and M of them; `/broken/M`: M bytes in chunks with no last one; `/almost/M`: the same, reset
+/// one byte before the end;
 /// `/drip/N/MS`: N bytes, a hundred every MS milliseconds; `/trailer`: a trailer that names a framing header;
 /// `/digits`: a chunk size of 17 digits; `/early`: 413 before its body was read, and the connection closed;
 /// `/stuck`: nothing, its body not read; anything else: count and hash of its body.
 pub fn streamer() -> std::io::Result<(SocketAddr, Uploads)> {
+    streamer_that(None)
+}
+
+/// The same; where `always` names one of these, whatever is asked for is answered so.
+pub fn streamer_that(always: Option<&'static str>) -> std::io::Result<(SocketAddr, Uploads)> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
     let address = listener.local_addr()?;
     let uploads = Uploads::default();
@@ -90,29 +96,36 @@
         for stream in listener.incoming().map_while(Result::ok) {
             let seen = seen.clone();
             seen.opened.fetch_add(1, Ordering::SeqCst);
-            thread::spawn(move || converse(stream, &seen));
+            thread::spawn(move || converse(stream, &seen, always));
         }
     });
     Ok((address, uploads))
 }
 
-fn converse(stream: TcpStream, seen: &Uploads) {
+fn converse(stream: TcpStream, seen: &Uploads, always: Option<&str>) {
     let Ok(mut out) = stream.try_clone() else { return };
     let _ = out.set_nodelay(true);
     let mut reader = BufReader::with_capacity(BLOCK, stream);
     while let Some(head) = Message::read_head(&mut reader) {
         seen.begun.fetch_add(1, Ordering::SeqCst);
-        if serve(&head, &mut reader, &mut out, seen).is_none() {
+        if serve(&head, &mut reader, &mut out, seen, always).is_none() {
             return;
         }
     }
 }
 
 /// One request; none where its connection is over.
-fn serve(head: &Message, reader: &mut impl BufRead, out: &mut TcpStream, seen: &Uploads) -> Option<()> {
+fn serve(
+    head: &Message,
+    reader: &mut impl BufRead,
+    out: &mut TcpStream,
+    seen: &Uploads,
+    always: Option<&str>,
+) -> Option<()> {
     let target = head.first_line.split(' ').nth(1)?;
     let mut path = target.split('/').skip(1);
-    let what = path.next()?.to_owned();
+    let asked = path.next()?;
+    let what = always.unwrap_or(asked).to_owned();
     let mut number = || path.next().and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
     let (first, second) = (number(), number());
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -163,6 +176,13 @@
             send(out, first, true)?;
             return None;
         }
+        "almost" => {
+            out.write_all(chunked.as_bytes()).ok()?;
+            send(out, first, true)?;
+            out.write_all(b"0\r\n\r").ok()?;
+            let _ = socket2::SockRef::from(&*out).set_linger(Some(Duration::ZERO));
+            return None;
+        }
         "drip" => {
             out.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {first}\r\n\r\n").as_bytes()).ok()?;
             let mut at = 0;
--- a/crates/upstream/src/conn.rs
+++ b/crates/upstream/src/conn.rs
@@ -34,6 +34,9 @@
     /// An answer had begun, and nobody wants the rest.
     #[error("nobody wants the rest")]
     Unwanted,
+    /// An answer had begun, and the rest comes too slowly.
+    #[error("the rest comes too slowly")]
+    TooSlow,
 }
 
 /// A request as it goes out.
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -372,6 +372,7 @@
             Failure::Spoilt(_) => Wire::Spoilt,
             Failure::Broken(_) => Wire::Broke,
             Failure::Unwanted => Wire::Unwanted,
+            Failure::TooSlow => Wire::TooSlow,
         }
     }
 }
--- a/crates/upstream/src/streamed.rs
+++ b/crates/upstream/src/streamed.rs
@@ -211,8 +211,9 @@
                     // Its client may leave with the last byte: the end waits for no room, or the connection were lost.
                     let room = if pieces.over() { Poll::Ready(Ok(1)) } else { feed.poll_room(cx) };
                     let Ok(room) = ready!(room) else {
-                        // More than may come is its server's doing; all else its client's, or the time's.
-                        return Poll::Ready(Err(Failure::Unwanted));
+                        // Too slow is its server's own; all else its client's, the time's or the route's.
+                        let slow = feed.why() == Some(Cut::SlowSource);
+                        return Poll::Ready(Err(if slow { Failure::TooSlow } else { Failure::Unwanted }));
                     };
                     match pieces.next(room)? {
                         Piece::Data(bytes) => {
