--- /dev/null
+++ b/crates/background/src/lib.rs
@@ -0,0 +1,19 @@
+//! Work beside requests: which task runs next, within a budget of CPU time, by priority and deadline. No I/O, no clock and
+//! no threads: whoever runs the tasks (`applemill-keeper`) says when one ends, what it took, and whether bids wait.
+//!
+//! One task runs at a time. It is paid for once it has run: the next starts when what was taken beyond the budget has come
+//! back. So in any time `t` the tasks that start take at most `burst + rate * t` and the one that overran it.
+//!
+//! ```
+//! use applemill_background::{Budget, Priority, Schedule, Spec};
+//!
+//! let mut schedule = Schedule::new(Budget { ms_per_s: 50.0, burst_ms: 50.0 });
+//! let task = schedule.add(Spec { name: "sweep".into(), priority: Priority::Low, due_ms: 0.0, deadline_ms: None, longest_ms: 1000.0 });
+//! assert_eq!(schedule.take(0.0, true), None, "bids wait");
+//! assert_eq!(schedule.take(0.0, false), Some(task));
+//! schedule.done(10.0, task, 8.0, Some(1010.0));
+//! ```
+
+mod schedule;
+
+pub use schedule::{Budget, Line, Priority, Schedule, Spec, State, TaskId};
--- /dev/null
+++ b/crates/certs/src/check.rs
@@ -0,0 +1,153 @@
+//! Whether a chain and a key may be served: all that is wrong is told in one go.
+
+use crate::names::covers;
+use rustls::crypto::ring::default_provider;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::sign::CertifiedKey;
+use std::sync::Arc;
+use thiserror::Error;
+use x509_parser::prelude::{FromDer, GeneralName, X509Certificate};
+
+/// Seconds since 1970.
+pub type Unix = i64;
+
+/// A chain is no longer than this; one of public authorities has two to four.
+const LONGEST_CHAIN: usize = 10;
+
+/// Why a chain and a key may not be served.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// No certificate is in it.
+    #[error("the chain has no certificate in PEM")]
+    NoCertificate,
+    /// One that cannot be read.
+    #[error("certificate {0} of the chain cannot be read")]
+    Unreadable(usize),
+    /// More than a chain has.
+    #[error("{0} certificates in the chain; 10 at most")]
+    TooLong(usize),
+    /// There is no key, or one of a kind that cannot be used.
+    #[error("no private key in PEM that can be used")]
+    NoKey,
+    /// The key is another's.
+    #[error("the key does not belong to the first certificate")]
+    OtherKey,
+    /// One is not signed by the next.
+    #[error("certificate {0} of the chain is not issued by the next one")]
+    Order(usize),
+    /// A name that is wanted is not in it.
+    #[error("{wanted} is not among its names ({found})")]
+    Name {
+        /// The name.
+        wanted: String,
+        /// Those that are.
+        found: String,
+    },
+    /// It is good only later.
+    #[error("it is not valid before {0} (seconds since 1970)")]
+    Early(Unix),
+    /// It was good until.
+    #[error("it expired at {0} (seconds since 1970)")]
+    Expired(Unix),
+}
+
+/// A chain and a key that belong together.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// The names that it is good for, in lower case.
+    pub names: Vec<String>,
+    /// From when it is good.
+    pub not_before: Unix,
+    /// Until when: the earliest end in the chain.
+    pub not_after: Unix,
+    /// What is served.
+    pub key: Arc<CertifiedKey>,
+}
+
+fn names_of(cert: &X509Certificate<'_>) -> Vec<String> {
+    let Ok(Some(alternatives)) = cert.subject_alternative_name() else { return Vec::new() };
+    let dns = alternatives.value.general_names.iter().filter_map(|name| match name {
+        GeneralName::DNSName(name) => Some(name.to_ascii_lowercase()),
+        _ => None,
+    });
+    dns.collect()
+}
+
+/// Checks a chain and a key that are to be served for some names at a time. What has expired, or is not good yet, is a
+/// fault too; whoever has nothing else may still serve it.
+///
+/// # Errors
+/// All that is wrong.
+pub fn check(chain: &[u8], key: &[u8], wanted: &[String], now: Unix) -> Result<Checked, Vec<Fault>> {
+    let mut faults = Vec::new();
+    let ders: Vec<CertificateDer<'static>> =
+        CertificateDer::pem_slice_iter(chain).filter_map(Result::ok).collect();
+    if ders.len() > LONGEST_CHAIN {
+        return Err(vec![Fault::TooLong(ders.len())]);
+    }
+    let mut certs = Vec::new();
+    for (der, n) in ders.iter().zip(1..) {
+        match X509Certificate::from_der(der) {
+            Ok(([], cert)) => certs.push(cert),
+            _ => faults.push(Fault::Unreadable(n)),
+        }
+    }
+    let Some(first) = certs.first() else {
+        faults.push(Fault::NoCertificate);
+        return Err(faults);
+    };
+    for ((cert, next), n) in certs.iter().zip(certs.iter().skip(1)).zip(1..) {
+        let named = cert.issuer() == next.subject();
+        if !named || cert.verify_signature(Some(next.public_key())).is_err() {
+            faults.push(Fault::Order(n));
+        }
+    }
+    let names = names_of(first);
+    for name in wanted.iter().filter(|w| !names.iter().any(|n| n == *w || covers(n, w))) {
+        faults.push(Fault::Name { wanted: name.clone(), found: names.join(", ") });
+    }
+    let not_before = first.validity().not_before.timestamp();
+    let ends = certs.iter().map(|c| c.validity().not_after.timestamp());
+    let not_after = ends.min().unwrap_or(not_before);
+    if now < not_before {
+        faults.push(Fault::Early(not_before));
+    }
+    if now >= not_after {
+        faults.push(Fault::Expired(not_after));
+    }
+    let certified = match PrivateKeyDer::from_pem_slice(key) {
+        Err(_) => Err(Fault::NoKey),
+        Ok(key) => match default_provider().key_provider.load_private_key(key) {
+            Err(_) => Err(Fault::NoKey),
+            Ok(signer) => {
+                let certified = CertifiedKey::new(ders.clone(), signer);
+                // One that cannot tell its public key is none of the kinds that are served here.
+                certified.keys_match().map(|()| certified).map_err(|_| Fault::OtherKey)
+            }
+        },
+    };
+    match certified {
+        Ok(key) if faults.is_empty() => Ok(Checked { names, not_before, not_after, key: Arc::new(key) }),
+        Ok(_) => Err(faults),
+        Err(fault) => {
+            faults.push(fault);
+            Err(faults)
+        }
+    }
+}
+
+/// When the first certificate of a chain ends, whatever else is wrong with it; none where it cannot be read.
+pub fn not_after(chain: &[u8]) -> Option<Unix> {
+    let der = CertificateDer::pem_slice_iter(chain).next()?.ok()?;
+    let (_, cert) = X509Certificate::from_der(&der).ok()?;
+    Some(cert.validity().not_after.timestamp())
+}
+
+/// A chain and key that were made here, such as one for a challenge.
+pub fn key_of(
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Option<Arc<CertifiedKey>> {
+    CertifiedKey::from_der(chain, key, &default_provider()).ok().map(Arc::new)
+}
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -6,7 +6,7 @@
 use applemill_ledger::Answer;
 use applemill_log as log;
 use applemill_operator::RunningPool;
-use applemill_socket::{Descriptors, Slot, Socket};
+use applemill_socket::{Descriptors, Layer, Slot, Socket, Stream};
 use applemill_upstream::{Reply as Answered, ReplyBody, Ticket};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
@@ -236,8 +236,9 @@
         }
     }
 
-    /// Takes connections until told to stop, and then for as long as they still come.
-    pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
+    /// Takes connections until told to stop, and then for as long as they still come; `layer` stands between them and what
+    /// is spoken here.
+    pub async fn accept(self: &Rc<Self>, listener: TcpListener, layer: Option<Rc<dyn Layer>>) {
         let mut last = Instant::now();
         loop {
             let quiet_at =
@@ -258,7 +259,7 @@
                     last = Instant::now();
                     // Under pressure this waits for a place: others wait in the backlog and are taken then.
                     let slot = self.descriptors.take_for_client().await;
-                    self.serve(stream, slot);
+                    self.serve(stream, slot, layer.clone());
                 }
                 Err(e) => {
                     // Out of descriptors, or a client that has gone already: neither may end the node or
@@ -286,7 +287,7 @@
         self.stop.notify_waiters();
     }
 
-    fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
+    fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot, layer: Option<Rc<dyn Layer>>) {
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
@@ -303,10 +304,22 @@
         self.next.set(number + 1);
         self.clients.borrow_mut().insert(number, client.clone());
         let listed = Listed { server: self.clone(), number };
-        spawn_local(async move { listed.server.converse(&client, socket).await });
+        match layer {
+            None => drop(spawn_local(async move { listed.server.converse(&client, socket).await })),
+            Some(layer) => drop(spawn_local(async move {
+                let opened = tokio::select! {
+                    opened = layer.open(socket) => opened,
+                    () = client.close.notified() => return,
+                };
+                // Who was not let in was told so by the layer.
+                let Ok(stream) = opened else { return };
+                client.read.set(client.socket.read());
+                listed.server.converse(&client, stream).await;
+            })),
+        }
     }
 
-    async fn converse(self: &Rc<Self>, client: &Rc<Client>, socket: Socket) {
+    async fn converse(self: &Rc<Self>, client: &Rc<Client>, stream: impl Stream) {
         let service = service_fn(|request| {
             let busy = Busy::new(client.clone());
             async move {
@@ -317,7 +330,7 @@
             }
         });
         let mut connection = pin!(
-            http1::Builder::new().max_buf_size(self.buffer).serve_connection(TokioIo::new(socket), service)
+            http1::Builder::new().max_buf_size(self.buffer).serve_connection(TokioIo::new(stream), service)
         );
         let mut look_at = Instant::now() + IDLE_LIMIT;
         let mut idle = false;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -233,7 +233,7 @@
     let accepting: Vec<_> = (listeners.into_iter())
         .map(|listener| {
             let server = server.clone();
-            spawn_local(async move { server.accept(listener).await })
+            spawn_local(async move { server.accept(listener, None).await })
         })
         .collect();
     terminate.recv().await;
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -6,6 +6,7 @@
 mod safety;
 mod shape;
 mod streams;
+mod tls;
 
 use crate::effective::Effective;
 use crate::model::{Class, File, Pool, Route};
@@ -43,6 +44,7 @@
             }
         }
         self.stream_memory();
+        self.tls();
         self.unused();
         self.report.settle();
     }
@@ -110,7 +112,10 @@
         }
         if self.platform.is_some() {
             for section in &file.sections {
-                if matches!(section.value.as_str(), "node" | "fleet" | "listener" | "tenant") {
+                if matches!(
+                    section.value.as_str(),
+                    "node" | "fleet" | "listener" | "tenant" | "tls" | "certificate" | "authority"
+                ) {
                     let found = "the platform's configuration says this";
                     self.error(
                         "platform-owns",
--- a/crates/routes/src/fields.rs
+++ b/crates/routes/src/fields.rs
@@ -203,6 +203,51 @@
     f("name", Kind::Text, "Its name in logs."),
     f("address", Kind::Text, "Address and port."),
     f("kind", Kind::Choice(&["http"]), "What is spoken there."),
+    f("tls", Kind::Flag, "Whether it is spoken by TLS, with the certificates of this file."),
+];
+
+pub(crate) const PROOFS: &[&str] = &["http-01", "tls-alpn-01"];
+
+pub(crate) const TLS: &[Field] = &[
+    f("handshake_time", Kind::Duration, "A handshake that takes longer is ended."),
+    f("handshakes", Kind::Count, "Handshakes at once; the oldest makes room for another."),
+    f(
+        "ticket_keys",
+        Kind::Text,
+        "A file with the fleet's keys of session tickets, 64 hexadecimal digits a line, the one for new tickets first.",
+    ),
+    f(
+        "state",
+        Kind::Text,
+        "The folder for accounts, keys and certificates; shared, where nodes share them.",
+    ),
+    f("proof", Kind::Choice(PROOFS), "How names are proven to an authority."),
+    f("orders_a_week", Kind::Count, "Orders a week for one certificate, at most."),
+    f(
+        "renew_part",
+        Kind::Number,
+        "A certificate is renewed when this part of its time is left, 0.1 to 0.8.",
+    ),
+];
+
+pub(crate) const CERTIFICATE: &[Field] = &[
+    f("names", Kind::Texts, "Names that it is to be good for; a star stands for a whole first label."),
+    f("default", Kind::Flag, "Whether clients get it that ask for no name that is known."),
+    f("chain", Kind::Text, "A file in PEM: its certificate, and those up to the root's, in order."),
+    f("key", Kind::Text, "A file in PEM with its key."),
+    f(
+        "authorities",
+        Kind::Texts,
+        "In place of files: the authorities that are asked, the preferred one first.",
+    ),
+];
+
+pub(crate) const AUTHORITY: &[Field] = &[
+    f("directory", Kind::Text, "The address of its directory (RFC 8555, 7.1.1), by https."),
+    f("root", Kind::Text, "A file in PEM with the roots that its own certificate is checked by."),
+    f("contact", Kind::Texts, "Whom it may write to, such as mailto:ops@auction.lv."),
+    f("account", Kind::Text, "An account that it has given out (RFC 8555, 7.3.4)."),
+    f("account_key", Kind::Text, "A file with that account's key, in base64url."),
 ];
 
 pub(crate) const SERVER: &[Field] = &[
@@ -230,6 +275,9 @@
     f("node", Kind::Table(NODE), "This node."),
     f("fleet", Kind::Table(FLEET), "The fleet it is one of, and how cold servers are to be started."),
     f("listener", Kind::Tables(LISTENER), "Where clients connect."),
+    f("tls", Kind::Table(TLS), "What holds for all listeners with TLS."),
+    f("certificate", Kind::Named(CERTIFICATE), "Certificates."),
+    f("authority", Kind::Named(AUTHORITY), "Authorities that certificates come from, by ACME."),
     f("pool", Kind::Named(POOL), "Servers."),
     f("tenant", Kind::Named(TENANT), "Tenants with a share."),
     f(
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -1,5 +1,9 @@
 //! An operator's file as it is written: every value with its place, nothing inherited and nothing judged yet.
 
+mod tls;
+
+pub use tls::{Authority, Certificate, Origin, Proof, Tls};
+
 use crate::report::Spot;
 use std::net::SocketAddr;
 
@@ -233,6 +237,15 @@
     pub name: At<String>,
     /// Where it listens.
     pub address: At<SocketAddr>,
+    /// TLS is spoken there.
+    pub tls: Option<At<bool>>,
+}
+
+impl Listener {
+    /// Whether TLS is spoken there.
+    pub fn is_tls(&self) -> bool {
+        self.tls.as_ref().is_some_and(|t| t.value)
+    }
 }
 
 /// A tenant.
@@ -301,6 +314,12 @@
     pub fleet: Fleet,
     /// Where clients connect.
     pub listeners: Vec<Listener>,
+    /// TLS, where a listener speaks it.
+    pub tls: Tls,
+    /// Certificates.
+    pub certificates: Vec<Certificate>,
+    /// Authorities that they come from.
+    pub authorities: Vec<Authority>,
     /// Servers.
     pub pools: Vec<Pool>,
     /// Tenants.
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -2,6 +2,7 @@
 //! are told all at once.
 
 mod section;
+mod tls;
 
 pub(crate) use section::{distance, is_token};
 
@@ -96,10 +97,14 @@
             let name = s.text("name");
             let address = s.address("address", true);
             s.choice("kind", &["http"]);
+            let tls = s.flag_at("tls");
             let address = address?;
             let name = name.unwrap_or_else(|| At { value: address.value.to_string(), at });
-            Some(Listener { name, address })
+            Some(Listener { name, address, tls })
         });
+        let tls = top.table("tls", fields::TLS, |s| s.tls());
+        let certificates = top.named("certificate", fields::CERTIFICATE, |s, name| s.certificate(name));
+        let authorities = top.named("authority", fields::AUTHORITY, |s, name| s.authority(name));
         let pools = top.named("pool", fields::POOL, |s, name| {
             let servers = s.tables("servers", fields::SERVER, |s, at| {
                 let name = s.text("name");
@@ -161,7 +166,21 @@
         });
         let sections =
             table.keys().map(|k| At { value: k.get_ref().to_string(), at: self.spot(k) }).collect();
-        File { sections, node, fleet, listeners, pools, tenants, defaults, classes, groups, routes }
+        File {
+            sections,
+            node,
+            fleet,
+            listeners,
+            tls,
+            certificates,
+            authorities,
+            pools,
+            tenants,
+            defaults,
+            classes,
+            groups,
+            routes,
+        }
     }
 }
 
--- a/crates/routes/src/read/section.rs
+++ b/crates/routes/src/read/section.rs
@@ -117,9 +117,13 @@
     }
 
     pub(super) fn flag(&mut self, name: &str) -> Option<bool> {
+        self.flag_at(name).map(|f| f.value)
+    }
+
+    pub(super) fn flag_at(&mut self, name: &str) -> Option<At<bool>> {
         let value = self.get(name)?;
         if let DeValue::Boolean(flag) = value.get_ref() {
-            return Some(*flag);
+            return Some(At { value: *flag, at: self.reader.spot(value) });
         }
         self.wrong("kind", name, value, "true or false");
         None
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -1,4 +1,9 @@
-//! One TCP socket that counts what goes through it, and the count of all of them against the limit.
+//! One TCP socket that counts what goes through it, the count of all of them against the limit, what may stand between a
+//! socket and a front, and turns among many that want to go on. What is spoken is left to others.
+
+mod turns;
+
+pub use turns::{Turn, Turns};
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -171,6 +176,20 @@
     }
 }
 
+/// A connection as a front sees it.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Stream for S {}
+
+/// A connection that is being opened.
+pub type Opening = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>>>>;
+
+/// What stands between a listener's sockets and a front, such as TLS. A front does not know which.
+pub trait Layer {
+    /// Opens a client's connection; bounded in time, and given up when dropped.
+    fn open(&self, socket: Socket) -> Opening;
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/upstream/src/turns.rs
+++ b/crates/socket/src/turns.rs
@@ -1,6 +1,7 @@
-//! Whose turn it is among streams. One thread does all, and what is ready is done in the order in which it got so: behind
-//! hundreds of streams that always have something to move, each step of a bid would wait for all of them. So streams
-//! take turns by themselves, a few in each round of the loop, and everything else goes between.
+//! Whose turn it is among many that all want to go on, such as streams or handshakes. One thread does all, and what is
+//! ready is done in the order in which it got so: behind hundreds of streams that always have something to move, each step
+//! of a bid would wait for all of them. So they take turns by themselves, a few in each round of the loop, and everything
+//! else goes between.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -9,9 +10,6 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-/// Steps of streams in a round, each a read or a write of what is moved at once.
-const IN_A_ROUND: usize = 4;
-
 /// One who takes turns.
 #[derive(Default)]
 pub struct Turn {
@@ -23,26 +21,27 @@
 
 #[derive(Default)]
 struct Line {
+    in_a_round: usize,
     left: Cell<usize>,
     waiting: RefCell<VecDeque<Rc<Turn>>>,
     some_wait: Notify,
 }
 
-/// The line that all streams of a node stand in. Clones are the same one.
+/// The line that all of them stand in. Clones are the same one.
 #[derive(Clone)]
 pub struct Turns(Rc<Line>);
 
 impl Turns {
-    /// Nobody waits; needs a `LocalSet` that runs.
-    pub fn new() -> Turns {
-        let line = Rc::new(Line { left: Cell::new(IN_A_ROUND), ..Line::default() });
+    /// Nobody waits; so many steps in each round. Needs a `LocalSet` that runs.
+    pub fn new(in_a_round: usize) -> Turns {
+        let line = Rc::new(Line { in_a_round, left: Cell::new(in_a_round), ..Line::default() });
         spawn_local(rounds(line.clone()));
         Turns(line)
     }
 
     /// Waits for a turn; each step needs another.
     pub fn poll(&self, turn: &Rc<Turn>, cx: &mut Context<'_>) -> Poll<()> {
-        let Line { left, waiting, some_wait } = &*self.0;
+        let Line { left, waiting, some_wait, .. } = &*self.0;
         if turn.granted.take() {
             return Poll::Ready(());
         }
@@ -70,7 +69,7 @@
         let mut granted = Vec::new();
         {
             let mut waiting = line.waiting.borrow_mut();
-            while granted.len() < IN_A_ROUND
+            while granted.len() < line.in_a_round
                 && let Some(turn) = waiting.pop_front()
             {
                 let waker = turn.waker.take();
@@ -84,7 +83,7 @@
                 line.some_wait.notify_one();
             }
         }
-        line.left.set(IN_A_ROUND - granted.len());
+        line.left.set(line.in_a_round - granted.len());
         granted.into_iter().for_each(Waker::wake);
     }
 }
--- /dev/null
+++ b/crates/tls/src/lib.rs
@@ -0,0 +1,11 @@
+//! TLS between a listener and a front, by rustls: handshakes within bounds, a certificate by the name that is asked for,
+//! tickets for those who come again. No front knows it. Which certificates there are is others' (`applemill-keeper`);
+//! whether they are good, `applemill-certs`'.
+
+mod accept;
+mod served;
+mod tickets;
+
+pub use accept::{Handshakes, Terms, Tls, TlsError};
+pub use served::{ACME_TLS, Served};
+pub use tickets::{KeyFileError, Tickets};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,7 +11,6 @@
 mod peers;
 mod pipe;
 mod streamed;
-mod turns;
 
 pub use call::{
     BODY_LIMIT, Body, Call, Dialect, Reply, ReplyBody, StreamedAnswer, end_to_end, without_own,
--- a/crates/upstream/src/pipe.rs
+++ b/crates/upstream/src/pipe.rs
@@ -2,8 +2,8 @@
 //! the rules of `applemill-flow`. The two ends wake one another; a task beside them looks at the time.
 
 use crate::clock::Clock;
-use crate::turns::{Turn, Turns};
 use applemill_flow::{Cut, Flow, Lane, Terms};
+use applemill_socket::{Turn, Turns};
 use bytes::{Bytes, BytesMut};
 use hyper::HeaderMap;
 use std::cell::{RefCell, RefMut};
@@ -13,6 +13,8 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+/// Steps of streams in a round of the loop, each a read or a write of what is moved at once.
+const IN_A_ROUND: usize = 4;
 /// What is shorter is gathered, up to so much.
 const SMALL: usize = 1024;
 const GATHERED: usize = 4 * 1024;
@@ -161,7 +163,7 @@
 impl Pipes {
     /// There are none yet; needs a `LocalSet` that runs.
     pub fn new(clock: Clock) -> Pipes {
-        Pipes { clock, turns: Turns::new() }
+        Pipes { clock, turns: Turns::new(IN_A_ROUND) }
     }
 
     /// A stream that begins now, and what it may hold.
