TLS on listeners: certificates from files, by name, changed under way

Change: crate keeper (a thread beside the loop: files and a shared folder looked at four times a second, each run on a thread of its own at a low priority; orders by ACME, not yet tested); listener tls = true; /up tells how certificates stand; [tls] holds from start to end, certificates change with SIGHUP and with their files; files that are wrong at the start end the node with 2 and all that is wrong. The stand-ins have an issuer and a client that checks chain, name and time.

Found on the way: the oldest handshake made room in a flood, and that was who was about to be done (now the oldest that has said nothing); looks at files had no deadline and would have waited as long as bids do. Seen red: another certificate for a name, one that has expired in place of a good one, handshakes without bound.

--- a/crates/certs/src/check.rs
+++ b/crates/certs/src/check.rs
@@ -74,12 +74,25 @@
     dns.collect()
 }
 
-/// Checks a chain and a key that are to be served for some names at a time. What has expired, or is not good yet, is a
-/// fault too; whoever has nothing else may still serve it.
+impl Checked {
+    /// Whether it is good at a time; whoever has nothing else may still serve it.
+    ///
+    /// # Errors
+    /// It is not good yet, or any more.
+    pub fn timely(&self, now: Unix) -> Result<(), Fault> {
+        match now {
+            _ if now < self.not_before => Err(Fault::Early(self.not_before)),
+            _ if now >= self.not_after => Err(Fault::Expired(self.not_after)),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Checks a chain and a key that are to be served for some names, whatever the time.
 ///
 /// # Errors
 /// All that is wrong.
-pub fn check(chain: &[u8], key: &[u8], wanted: &[String], now: Unix) -> Result<Checked, Vec<Fault>> {
+pub fn check(chain: &[u8], key: &[u8], wanted: &[String]) -> Result<Checked, Vec<Fault>> {
     let mut faults = Vec::new();
     let ders: Vec<CertificateDer<'static>> =
         CertificateDer::pem_slice_iter(chain).filter_map(Result::ok).collect();
@@ -110,12 +123,6 @@
     let not_before = first.validity().not_before.timestamp();
     let ends = certs.iter().map(|c| c.validity().not_after.timestamp());
     let not_after = ends.min().unwrap_or(not_before);
-    if now < not_before {
-        faults.push(Fault::Early(not_before));
-    }
-    if now >= not_after {
-        faults.push(Fault::Expired(not_after));
-    }
     let certified = match PrivateKeyDer::from_pem_slice(key) {
         Err(_) => Err(Fault::NoKey),
         Ok(key) => match default_provider().key_provider.load_private_key(key) {
@@ -137,13 +144,6 @@
     }
 }
 
-/// When the first certificate of a chain ends, whatever else is wrong with it; none where it cannot be read.
-pub fn not_after(chain: &[u8]) -> Option<Unix> {
-    let der = CertificateDer::pem_slice_iter(chain).next()?.ok()?;
-    let (_, cert) = X509Certificate::from_der(&der).ok()?;
-    Some(cert.validity().not_after.timestamp())
-}
-
 /// A chain and key that were made here, such as one for a challenge.
 pub fn key_of(
     chain: Vec<CertificateDer<'static>>,
--- a/crates/certs/src/lib.rs
+++ b/crates/certs/src/lib.rs
@@ -5,6 +5,6 @@
 mod names;
 mod table;
 
-pub use check::{Checked, Fault, Unix, check, key_of, not_after};
+pub use check::{Checked, Fault, Unix, check, key_of};
 pub use names::covers;
 pub use table::{Entry, Table};
--- a/crates/certs/tests/certs.rs
+++ b/crates/certs/tests/certs.rs
@@ -1,6 +1,6 @@
 //! Chains and keys that are good, and each way of not being so; names by brute force.
 
-use applemill_certs::{Entry, Fault, Table, check, covers, not_after};
+use applemill_certs::{Entry, Fault, Table, check, covers};
 use proptest::prelude::*;
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use std::sync::Arc;
@@ -33,33 +33,32 @@
     (format!("{}{}", cert.pem(), by.pem()), key.serialize_pem())
 }
 
-fn faults(chain: &str, key: &str, wanted: &[&str], now: i64) -> Vec<Fault> {
+fn faults(chain: &str, key: &str, wanted: &[&str]) -> Vec<Fault> {
     let wanted: Vec<String> = wanted.iter().map(|w| (*w).to_owned()).collect();
-    check(chain.as_bytes(), key.as_bytes(), &wanted, now).err().unwrap_or_default()
+    check(chain.as_bytes(), key.as_bytes(), &wanted).err().unwrap_or_default()
 }
 
 #[test]
 fn a_good_pair_is_taken_and_each_fault_is_told_by_itself() {
     let by = issuer("one");
     let (chain, key) = pair(&by, &["a.lv", "*.b.lv"], NOW - DAY, NOW + 30 * DAY);
-    let taken = check(chain.as_bytes(), key.as_bytes(), &["a.lv".into(), "x.b.lv".into()], NOW).unwrap();
+    let taken = check(chain.as_bytes(), key.as_bytes(), &["a.lv".into(), "x.b.lv".into()]).unwrap();
     assert_eq!((taken.not_before, taken.not_after), (NOW - DAY, NOW + 30 * DAY));
     assert_eq!(taken.names, ["a.lv", "*.b.lv"]);
-    assert_eq!(faults(&chain, &key, &["*.b.lv"], NOW), []);
-    assert_eq!(not_after(chain.as_bytes()), Some(NOW + 30 * DAY));
+    assert_eq!(faults(&chain, &key, &["*.b.lv"]), []);
     let (other_chain, other_key) = pair(&by, &["a.lv"], NOW - DAY, NOW + 30 * DAY);
-    assert_eq!(faults(&chain, &other_key, &["a.lv"], NOW), [Fault::OtherKey]);
-    assert_eq!(faults(&other_chain, &key, &["a.lv"], NOW), [Fault::OtherKey]);
-    assert_eq!(faults(&chain, "", &[], NOW), [Fault::NoKey]);
-    assert_eq!(faults(&chain, &key[..key.len() / 2], &[], NOW), [Fault::NoKey]);
-    assert_eq!(faults("", &key, &[], NOW), [Fault::NoCertificate]);
-    assert_eq!(faults(&chain, &key, &["a.lv"], NOW - 2 * DAY), [Fault::Early(NOW - DAY)]);
-    assert_eq!(faults(&chain, &key, &["a.lv"], NOW + 30 * DAY), [Fault::Expired(NOW + 30 * DAY)]);
-    assert_eq!(faults(&chain, &key, &["a.lv"], NOW + 30 * DAY - 1), []);
+    assert_eq!(faults(&chain, &other_key, &["a.lv"]), [Fault::OtherKey]);
+    assert_eq!(faults(&other_chain, &key, &["a.lv"]), [Fault::OtherKey]);
+    assert_eq!(faults(&chain, "", &[]), [Fault::NoKey]);
+    assert_eq!(faults(&chain, &key[..key.len() / 2], &[]), [Fault::NoKey]);
+    assert_eq!(faults("", &key, &[]), [Fault::NoCertificate]);
+    assert_eq!(taken.timely(NOW - 2 * DAY), Err(Fault::Early(NOW - DAY)));
+    assert_eq!(taken.timely(NOW + 30 * DAY), Err(Fault::Expired(NOW + 30 * DAY)));
+    assert_eq!(taken.timely(NOW + 30 * DAY - 1), Ok(()));
     assert!(
-        matches!(&faults(&chain, &key, &["c.lv", "a.lv"], NOW)[..], [Fault::Name { wanted, .. }] if wanted == "c.lv")
+        matches!(&faults(&chain, &key, &["c.lv", "a.lv"])[..], [Fault::Name { wanted, .. }] if wanted == "c.lv")
     );
-    assert_eq!(faults(&chain.repeat(6), &key, &[], NOW), [Fault::TooLong(12)]);
+    assert_eq!(faults(&chain.repeat(6), &key, &[]), [Fault::TooLong(12)]);
 }
 
 #[test]
@@ -70,14 +69,14 @@
     let (chain, key) = pair(&by, &["a.lv"], NOW - DAY, NOW + DAY);
     let leaf = &chain[..chain.len() - by.pem().len()];
     for wrong in [&other, &namesake] {
-        assert_eq!(faults(&format!("{leaf}{}", wrong.pem()), &key, &["a.lv"], NOW), [Fault::Order(1)]);
+        assert_eq!(faults(&format!("{leaf}{}", wrong.pem()), &key, &["a.lv"]), [Fault::Order(1)]);
     }
-    let turned = faults(&format!("{}{leaf}", by.pem()), &key, &["a.lv"], NOW);
+    let turned = faults(&format!("{}{leaf}", by.pem()), &key, &["a.lv"]);
     assert!(turned.contains(&Fault::Order(1)) && turned.contains(&Fault::OtherKey), "{turned:?}");
     // A chain without its issuer is what some files have.
-    assert_eq!(faults(leaf, &key, &["a.lv"], NOW), []);
+    assert_eq!(faults(leaf, &key, &["a.lv"]), []);
     // Everything in one go.
-    assert_eq!(faults(&format!("{leaf}{}", other.pem()), "", &["z.lv"], NOW + DAY).len(), 4);
+    assert_eq!(faults(&format!("{leaf}{}", other.pem()), "", &["z.lv"]).len(), 3);
 }
 
 #[test]
@@ -102,8 +101,8 @@
     #[test]
     fn whatever_the_bytes_the_check_ends(chain in prop::collection::vec(any::<u8>(), 0..300), cut in 0_usize..900) {
         let (whole, key) = pair(&issuer("one"), &["a.lv"], NOW - DAY, NOW + DAY);
-        prop_assert!(check(&chain, key.as_bytes(), &[], NOW).is_err());
+        prop_assert!(check(&chain, key.as_bytes(), &[]).is_err());
         let part = &whole.as_bytes()[..cut.min(whole.len())];
-        let _ = check(part, &chain, &[], NOW);
+        let _ = check(part, &chain, &[]);
     }
 }
--- a/crates/front-http/src/request.rs
+++ b/crates/front-http/src/request.rs
@@ -47,7 +47,12 @@
 
 /// An answer with a fixed text.
 pub fn plain<H>(status: StatusCode, text: &'static str) -> Own<H> {
-    let mut response = Response::new(Reply::Whole(Bytes::from_static(text.as_bytes())));
+    own(status, text)
+}
+
+/// An answer of the node's own.
+pub fn own<H>(status: StatusCode, text: impl Into<Bytes>) -> Own<H> {
+    let mut response = Response::new(Reply::Whole(text.into()));
     *response.status_mut() = status;
     response
 }
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -1,7 +1,7 @@
 //! The client side: connections, what they ask, and the answers they get.
 
 use crate::body::Reply;
-use crate::request::{Own, Reader, Reading, Turned, farewell, plain};
+use crate::request::{Own, Reader, Reading, Turned, farewell, own, plain};
 use crate::upload::Upload;
 use applemill_ledger::Answer;
 use applemill_log as log;
@@ -164,6 +164,11 @@
     }
 }
 
+/// Pages that the node has of its own, by path; none for what is not among them.
+pub type OwnPages = Box<dyn Fn(&str) -> Option<String>>;
+/// Where authorities look for the proof of a name (RFC 8555, 8.3).
+const PROOFS: &str = "/.well-known/acme-challenge/";
+
 /// The client side of the node.
 pub struct Server {
     pools: Rc<[RunningPool]>,
@@ -176,18 +181,21 @@
     staying: Rc<Cell<usize>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
+    pages: Option<OwnPages>,
     stop: Notify,
     closed: Notify,
 }
 
 impl Server {
-    /// A server with no clients yet. `buffer` is what it reads ahead on a connection, in bytes.
+    /// A server with no clients yet. `buffer` is what it reads ahead on a connection, in bytes; of `pages`, `/up` is told
+    /// beside its status.
     pub fn new(
         pools: Rc<[RunningPool]>,
         reader: Reader,
         open_cap: usize,
         buffer: usize,
         descriptors: Rc<Descriptors>,
+        pages: Option<OwnPages>,
     ) -> Rc<Server> {
         let server = Rc::new(Server {
             pools,
@@ -199,6 +207,7 @@
             staying: Rc::default(),
             next: Cell::new(0),
             stopping: Cell::new(None),
+            pages,
             stop: Notify::new(),
             closed: Notify::new(),
         });
@@ -380,14 +389,20 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        let mut response = if path != "/up" {
+        let page = || self.pages.as_ref().and_then(|pages| pages(path));
+        let mut response = if path.starts_with(PROOFS)
+            && let Some(text) = page()
+        {
+            own(StatusCode::OK, text)
+        } else if path != "/up" {
             match self.reader.read(arrived, head, body).await {
                 Ok(reading) => self.ask(reading).await,
                 Err(turned_away) => turned_away.into(),
             }
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             let ready = self.pools.iter().any(|p| p.driver.ready()) && self.stopping.get().is_none();
-            plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            own(status, page().unwrap_or_default())
         } else {
             farewell(StatusCode::METHOD_NOT_ALLOWED, "")
         };
--- /dev/null
+++ b/crates/keeper/src/files.rs
@@ -0,0 +1,71 @@
+//! Certificates from files.
+
+use applemill_certs::{Checked, check};
+use applemill_routes::{Certificate, CertificateOrigin};
+use applemill_tls::Tickets;
+use std::fs::File;
+use std::io::Read;
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
+
+/// No chain, key or file of roots is longer.
+const LONGEST: u64 = 1 << 20;
+
+/// How a file looks from outside: another look, another content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Look {
+    inode: u64,
+    length: u64,
+    changed: (i64, i64),
+}
+
+pub(crate) fn look(path: &str) -> Option<Look> {
+    let about = std::fs::metadata(path).ok()?;
+    Some(Look { inode: about.ino(), length: about.len(), changed: (about.mtime(), about.mtime_nsec()) })
+}
+
+/// Reads a file whole.
+///
+/// # Errors
+/// What is wrong with it, with its name.
+pub(crate) fn read(path: &str) -> Result<Vec<u8>, String> {
+    let told = |e: &dyn std::fmt::Display| format!("{path}: {e}");
+    let about = std::fs::metadata(Path::new(path)).map_err(|e| told(&e))?;
+    if !about.is_file() {
+        return Err(told(&"not a file"));
+    }
+    let mut bytes = Vec::new();
+    let file = File::open(path).map_err(|e| told(&e))?;
+    file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(|e| told(&e))?;
+    if bytes.len() as u64 > LONGEST {
+        return Err(told(&"longer than 1 MiB"));
+    }
+    Ok(bytes)
+}
+
+/// Reads and checks a certificate that comes from files; none where it does not.
+///
+/// # Errors
+/// All that is wrong with it, a line each; nothing of a key is in it.
+pub fn load(certificate: &Certificate) -> Option<Result<Checked, Vec<String>>> {
+    let CertificateOrigin::Files { chain, key } = &certificate.origin else { return None };
+    let (chain_bytes, key_bytes) = match (read(&chain.value), read(&key.value)) {
+        (Ok(chain), Ok(key)) => (chain, key),
+        (chain, key) => return Some(Err(chain.err().into_iter().chain(key.err()).collect())),
+    };
+    let names: Vec<String> = certificate.names.iter().map(|n| n.value.clone()).collect();
+    let checked = check(&chain_bytes, &key_bytes, &names);
+    Some(checked.map_err(|faults| {
+        let files = format!("{} and {}", chain.value, key.value);
+        faults.iter().map(|f| format!("{files}: {f}")).collect()
+    }))
+}
+
+/// Reads a file of keys for tickets.
+///
+/// # Errors
+/// What is wrong with it; nothing of a key is in it.
+pub fn read_tickets(path: &str, into: &Tickets) -> Result<(), String> {
+    let bytes = read(path)?;
+    into.replace(&String::from_utf8_lossy(&bytes)).map_err(|e| format!("{path}: {e}"))
+}
--- /dev/null
+++ b/crates/keeper/src/lib.rs
@@ -0,0 +1,22 @@
+//! Keeps certificates and hands them to `applemill-tls`: read from files, or ordered from authorities by ACME, in a folder
+//! that nodes may share. All of it runs on threads of its own, beside the loop of requests. What is good is
+//! `applemill-certs`' to say, when to renew `applemill-renewal`'s, who orders `applemill-lease`'s, and what runs next
+//! `applemill-background`'s; here they meet files, sockets and clocks.
+
+mod acme;
+mod clock;
+mod files;
+mod http;
+mod keeper;
+mod order;
+mod proofs;
+mod shelf;
+mod standing;
+mod store;
+
+pub use clock::wall_s;
+pub use files::{load, read_tickets};
+pub use keeper::{Keeper, Settings};
+pub use proofs::Proofs;
+pub use standing::{Shown, survey};
+pub use store::Store;
--- /dev/null
+++ b/crates/keeper/src/shelf.rs
@@ -0,0 +1,208 @@
+//! What this node has of each certificate: the one in service, where it came from, and its record.
+
+use crate::clock::wall_s;
+use crate::files::{Look, load, look};
+use crate::store::Store;
+use applemill_certs::{Checked, Entry, Table, check};
+use applemill_renewal::{Held, Policy, Record, Seconds};
+use applemill_routes::{Authority, Certificate, CertificateOrigin, Tls as Terms};
+use rustls::sign::CertifiedKey;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// What the operator's file says of all this.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) terms: Terms,
+    pub(crate) certificates: Vec<Certificate>,
+    pub(crate) authorities: Vec<Authority>,
+}
+
+impl Wanted {
+    pub(crate) fn certificate(&self, name: &str) -> Option<&Certificate> {
+        self.certificates.iter().find(|c| c.name.value == name)
+    }
+
+    /// The authorities of a certificate, the preferred one first.
+    pub(crate) fn authorities_of(&self, certificate: &Certificate) -> Vec<&Authority> {
+        let CertificateOrigin::Authorities(names) = &certificate.origin else { return Vec::new() };
+        let find = |n: &str| self.authorities.iter().find(|a| a.name.value == n);
+        names.iter().filter_map(|n| find(&n.value)).collect()
+    }
+
+    /// What holds for a certificate at this node.
+    pub(crate) fn policy(&self, name: &str, node: &str) -> Policy {
+        let mut hasher = DefaultHasher::new();
+        (name, node).hash(&mut hasher);
+        Policy {
+            renew_part: self.terms.renew_part,
+            orders_a_week: self.terms.orders_a_week as usize,
+            place: (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64,
+        }
+    }
+}
+
+/// Where certificates and their records lie in the folder.
+pub(crate) fn certificates_of(name: &str) -> String {
+    format!("certificates/{name}")
+}
+
+pub(crate) fn records_of(name: &str) -> String {
+    format!("records/{name}")
+}
+
+/// One certificate.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Kept {
+    pub(crate) checked: Option<Checked>,
+    /// Its number in the folder.
+    pub(crate) number: u64,
+    /// Its chain in PEM, where it came from the folder.
+    pub(crate) chain: Vec<u8>,
+    pub(crate) record: Record,
+    /// As its authority said last, to this node.
+    pub(crate) window: Option<(Seconds, Seconds)>,
+    record_number: u64,
+    looks: Option<(Option<Look>, Option<Look>)>,
+    /// What was last found wrong, told once.
+    complaint: Option<String>,
+    /// The last word for how it stands.
+    pub(crate) word: &'static str,
+}
+
+fn split(pem: &[u8]) -> (Vec<u8>, Vec<u8>) {
+    // The key comes first: that it is there says that all of it is.
+    let text = String::from_utf8_lossy(pem);
+    let end = text.find("-----BEGIN CERTIFICATE").unwrap_or(text.len());
+    let (key, chain) = text.split_at_checked(end).unwrap_or_default();
+    (chain.as_bytes().to_vec(), key.as_bytes().to_vec())
+}
+
+/// Key and chain as one file: neither can be another's.
+pub(crate) fn joined(chain: &str, key: &str) -> Vec<u8> {
+    format!("{}\n{chain}", key.trim_end()).into_bytes()
+}
+
+fn held(checked: &Checked) -> Held {
+    Held { not_before: checked.not_before as Seconds, not_after: checked.not_after as Seconds }
+}
+
+impl Kept {
+    /// Takes a certificate, unless it is worse than what there is.
+    fn take(&mut self, checked: Checked) -> Result<(), String> {
+        let now = wall_s() as i64;
+        if let (Err(fault), Some(old)) = (checked.timely(now), &self.checked)
+            && old.timely(now).is_ok()
+        {
+            return Err(format!("{fault}; the one in service is good until {}", old.not_after));
+        }
+        let held = held(&checked);
+        if self.record.held != Some(held) {
+            // What was said of another does not hold of this one.
+            (self.record.held, self.window, self.record.window) = (Some(held), None, None);
+        }
+        self.checked = Some(checked);
+        Ok(())
+    }
+
+    /// Looks whether anything is new; true where another is in service. What is wrong is told once.
+    pub(crate) fn look(
+        &mut self,
+        certificate: &Certificate,
+        store: Option<&Store>,
+    ) -> (bool, Option<String>) {
+        let looked = match (&certificate.origin, store) {
+            (CertificateOrigin::Files { chain, key }, _) => {
+                self.look_at_files(certificate, &chain.value, &key.value)
+            }
+            (CertificateOrigin::Authorities(_), Some(store)) => self.look_in(certificate, store),
+            _ => Ok(false),
+        };
+        match looked {
+            Ok(new) => {
+                if new {
+                    self.complaint = None;
+                }
+                (new, None)
+            }
+            Err(why) if self.complaint.as_ref() == Some(&why) => (false, None),
+            Err(why) => {
+                self.complaint = Some(why.clone());
+                (false, Some(why))
+            }
+        }
+    }
+
+    fn look_at_files(&mut self, certificate: &Certificate, chain: &str, key: &str) -> Result<bool, String> {
+        let looks = (look(chain), look(key));
+        if self.looks == Some(looks) {
+            return Ok(false);
+        }
+        let Some(loaded) = load(certificate) else { return Ok(false) };
+        // Changed while they were read: the next look sees it.
+        if (look(chain), look(key)) != looks {
+            return Ok(false);
+        }
+        self.looks = Some(looks);
+        self.take(loaded.map_err(|faults| faults.join("; "))?)?;
+        Ok(true)
+    }
+
+    fn look_in(&mut self, certificate: &Certificate, store: &Store) -> Result<bool, String> {
+        let name = &certificate.name.value;
+        self.look_at_record(name, store)?;
+        let shelf = certificates_of(name);
+        let numbers = store.numbers(&shelf).map_err(|e| format!("state: {e}"))?;
+        let names: Vec<String> = certificate.names.iter().map(|n| n.value.clone()).collect();
+        let mut wrong = None;
+        // The highest that is good: one that is not leaves those before it in service.
+        let served = self.number;
+        for number in numbers.into_iter().take_while(|n| *n > served) {
+            let Some(pem) = store.get_number(&shelf, number).map_err(|e| format!("state: {e}"))? else {
+                continue;
+            };
+            let (chain, key) = split(&pem);
+            let taken = match check(&chain, &key, &names) {
+                Ok(checked) => self.take(checked),
+                Err(faults) => Err(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
+            };
+            match taken {
+                Ok(()) => {
+                    (self.number, self.chain) = (number, chain);
+                    return Ok(true);
+                }
+                Err(why) => wrong = wrong.or(Some(format!("state: number {number}: {why}"))),
+            }
+        }
+        wrong.map_or(Ok(false), Err)
+    }
+
+    /// The fleet's record, where another node has written a newer one.
+    fn look_at_record(&mut self, name: &str, store: &Store) -> Result<(), String> {
+        let shelf = records_of(name);
+        let newest = store.numbers(&shelf).map_err(|e| format!("state: {e}"))?.first().copied();
+        let Some(number) = newest.filter(|n| *n >= self.record_number) else { return Ok(()) };
+        let bytes = store.get_number(&shelf, number).map_err(|e| format!("state: {e}"))?;
+        // One that cannot be read counts as none: at worst an order is made too early.
+        if let Some(record) = bytes.and_then(|b| serde_json::from_slice::<Record>(&b).ok()) {
+            let own = self.record.held;
+            self.record = record;
+            (self.record.held, self.record.window) = (own, self.window);
+            self.record_number = number;
+        }
+        Ok(())
+    }
+}
+
+/// What is served, of all that is there.
+pub(crate) fn table<'k>(wanted: &Wanted, kept: impl Fn(&str) -> Option<&'k Kept>) -> Table<CertifiedKey> {
+    let entry = |c: &Certificate| {
+        let checked = kept(&c.name.value)?.checked.as_ref()?;
+        Some(Entry {
+            name: c.name.value.clone(),
+            names: c.names.iter().map(|n| n.value.clone()).collect(),
+            default: c.default,
+            key: checked.key.clone(),
+        })
+    };
+    Table::new(wanted.certificates.iter().filter_map(entry).collect())
+}
--- /dev/null
+++ b/crates/keeper/src/standing.rs
@@ -0,0 +1,100 @@
+//! How certificates stand, for logs, `/up` and the command line.
+
+use crate::clock::wall_s;
+use crate::shelf::{Kept, Wanted};
+use crate::store::Store;
+use applemill_renewal::{Seconds, Standing};
+use applemill_routes::{Certificate, File};
+use std::fmt::{self, Display, Formatter};
+use std::path::Path;
+
+/// One certificate as it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    /// What it is called.
+    pub name: String,
+    /// How it stands.
+    pub standing: Standing,
+    /// When it ends; none where there is none.
+    pub not_after: Option<Seconds>,
+    /// From when on it is to be renewed; none where it comes from files.
+    pub due: Option<Seconds>,
+    /// Now.
+    pub now: Seconds,
+    /// Orders in the last week.
+    pub orders: usize,
+    /// What went wrong last, by authority, in its own words; or with its files.
+    pub words: Vec<String>,
+}
+
+/// A length of time as one says it.
+fn length(seconds: Seconds) -> String {
+    match seconds.abs() {
+        s if s < 120.0 => format!("{s:.0} s"),
+        s if s < 7_200.0 => format!("{:.0} min", s / 60.0),
+        s if s < 172_800.0 => format!("{:.0} h", s / 3_600.0),
+        s => format!("{:.0} days", s / 86_400.0),
+    }
+}
+
+impl Display for Shown {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "certificate {}: {}", self.name, self.standing.word())?;
+        if let Standing::Failing(since) = self.standing {
+            write!(f, " for {}", length(self.now - since))?;
+        }
+        match self.not_after {
+            Some(end) if end > self.now => write!(f, ", ends in {}", length(end - self.now))?,
+            Some(end) => write!(f, ", ended {} ago", length(self.now - end))?,
+            None => {}
+        }
+        for words in &self.words {
+            write!(f, "; {words}")?;
+        }
+        Ok(())
+    }
+}
+
+pub(crate) fn shown(wanted: &Wanted, certificate: &Certificate, kept: &Kept, node: &str) -> Shown {
+    let (name, now) = (&certificate.name.value, wall_s());
+    let authorities = wanted.authorities_of(certificate);
+    let policy = wanted.policy(name, node);
+    let mut record = kept.record.clone();
+    record.settle(now, authorities.len());
+    let doors = authorities.iter().zip(&record.doors).filter(|(_, d)| d.failures > 0);
+    let words = doors.map(|(a, d)| {
+        let shut = if d.shut_until > now {
+            format!(", next in {}", length(d.shut_until - now))
+        } else {
+            String::new()
+        };
+        format!("{} ({} failed{shut}): {}", a.name.value, d.failures, d.words.replace('\n', " "))
+    });
+    Shown {
+        name: name.clone(),
+        standing: record.standing(&policy, now),
+        not_after: record.held.map(|h| h.not_after),
+        due: (!authorities.is_empty()).then(|| record.due(&policy)),
+        now,
+        orders: record.orders.len(),
+        words: words.collect(),
+    }
+}
+
+/// How the certificates of a file stand, by what lies on the disk; whether a node runs is of no matter.
+pub fn survey(file: &File) -> Vec<Shown> {
+    let wanted = Wanted {
+        terms: file.tls.clone(),
+        certificates: file.certificates.clone(),
+        authorities: file.authorities.clone(),
+    };
+    let store = file.tls.state.as_ref().map(|s| Store::new(Path::new(&s.value)));
+    let show = |c: &Certificate| {
+        let mut kept = Kept::default();
+        let (_, wrong) = kept.look(c, store.as_ref());
+        let mut shown = shown(&wanted, c, &kept, &file.node.name);
+        shown.words.extend(wrong);
+        shown
+    };
+    wanted.certificates.iter().map(show).collect()
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,20 +1,25 @@
 //! A node from its start to its end: what it is made of is put together here, and taken apart in order.
 
 use crate::config::Config;
-use crate::setup::Setup;
+use crate::setup::{Setup, TlsSetup};
+use applemill_background::State;
 use applemill_flow::{Memory, Share};
-use applemill_front_http::{Reader, Server};
+use applemill_front_http::{OwnPages, Reader, Server};
+use applemill_keeper::Keeper;
 use applemill_ledger::Limits;
 use applemill_log as log;
 use applemill_operator::{Operator, PoolSetup, RunningPool, Source};
 use applemill_routes::STREAM_FLOOR;
-use applemill_socket::Descriptors;
+use applemill_socket::{Descriptors, Layer};
+use applemill_tls::Tls;
 use applemill_upstream::{BODY_LIMIT, Clock, Driver, Input, Peers, Pipes, Shared, Watch, listing};
 use birchspoke::Balancer;
 use birchspoke::interface::{ListKind, Settings};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -37,6 +42,9 @@
 /// Elsewhere a stop waits for so long at most: a third of what service managers allow by default.
 const LONGEST_STOP: Duration = Duration::from_secs(30);
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// How often the loop's own lateness is measured, and from when on it is late: a timer of tokio's is due to the millisecond.
+const LOOK_AT_LOOP: Duration = Duration::from_millis(50);
+const LATE: Duration = Duration::from_millis(4);
 /// Characters of a report that are logged.
 const LOGGED: usize = 4000;
 /// Time for those failures to be written.
@@ -57,6 +65,7 @@
     platform: Option<Moved>,
     operator: Option<Rc<Operator>>,
     pools: Rc<[RunningPool]>,
+    keeper: Option<Rc<Keeper>>,
 ) {
     while hangup.recv().await.is_some() {
         if let Some(discovery) = &platform {
@@ -70,7 +79,12 @@
         }
         if let Some(operator) = &operator {
             match operator.reload(&pools).await {
-                Ok(taken) => log::line(&first_of(&format!("operator's file read again: {taken}"))),
+                Ok(taken) => {
+                    log::line(&first_of(&format!("operator's file read again: {taken}")));
+                    if let Some(keeper) = &keeper {
+                        keeper.reload(&operator.current().rules.file);
+                    }
+                }
                 Err(e) => log::line(&first_of(&format!("operator's file kept as it was: {e}"))),
             }
         }
@@ -141,6 +155,29 @@
     settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
 }
 
+/// Tells whoever works beside requests that these wait: the loop was late for its own timer.
+async fn watch_loop(pressed: Arc<AtomicBool>) {
+    loop {
+        let due = Instant::now() + LOOK_AT_LOOP;
+        tokio::time::sleep_until(due.into()).await;
+        pressed.store(due.elapsed() > LATE, Ordering::Relaxed);
+    }
+}
+
+/// What a node with certificates tells by itself: proofs of names, and beside `/up` how certificates and the work on them
+/// stand.
+fn pages(keeper: Rc<Keeper>) -> OwnPages {
+    let proofs = keeper.proofs();
+    Box::new(move |path| match path {
+        "/up" => {
+            let certificates = keeper.shown().into_iter().map(|c| format!("{c}\n"));
+            let late = keeper.tasks().into_iter().filter(|t| t.state == State::Late);
+            Some(certificates.chain(late.map(|t| format!("late: {}\n", t.name))).collect())
+        }
+        _ => proofs.answer(path.rsplit('/').next()?),
+    })
+}
+
 /// Runs a node until it is told to stop.
 ///
 /// # Errors
@@ -151,7 +188,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut listeners = Vec::new();
     for at in &setup.listeners {
-        listeners.push(listen(*at).map_err(|e| format!("listen: {at}: {e}"))?);
+        let address = at.address;
+        listeners.push((listen(address).map_err(|e| format!("listen: {address}: {e}"))?, at.tls));
     }
     let descriptors = Descriptors::new(setup.sockets);
     let buffer = (setup.memory / BUFFERS_PART / setup.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
@@ -192,7 +230,15 @@
     let mut moves = moves.into_iter();
     let platform = if setup.platform { moves.next().flatten() } else { None };
     let _others: Vec<_> = moves.collect();
-    spawn_local(reload(hangup, platform, operator.clone(), pools.clone()));
+    let (keeper, layer) = match setup.tls {
+        Some(TlsSetup { keeper, terms, pressed }) => {
+            let layer: Rc<dyn Layer> = Rc::new(Tls::new(keeper.served(), keeper.tickets(), terms)?);
+            spawn_local(watch_loop(pressed));
+            (Some(Rc::new(keeper)), Some(layer))
+        }
+        None => (None, None),
+    };
+    spawn_local(reload(hangup, platform, operator.clone(), pools.clone(), keeper.clone()));
     if let (Some(peers), Some(first)) = (peers, pools.first()) {
         let driver = first.driver.clone();
         spawn_local(async move {
@@ -223,17 +269,18 @@
         lanes: 2 * setup.streams.count,
     });
     let reader = Reader::new(pools.clone(), classes, operator, memory, pipes);
-    let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors);
+    let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors, keeper.map(pages));
     if !setup.warnings.is_empty() {
         log::line(&first_of(&format!("the operator's file has warnings\n{}", setup.warnings)));
     }
     for at in &setup.listeners {
-        log::line(&format!("{} serves on {at}", setup.name));
+        let by = if at.tls { ", by TLS" } else { "" };
+        log::line(&format!("{} serves on {}{by}", setup.name, at.address));
     }
     let accepting: Vec<_> = (listeners.into_iter())
-        .map(|listener| {
-            let server = server.clone();
-            spawn_local(async move { server.accept(listener, None).await })
+        .map(|(listener, tls)| {
+            let (server, layer) = (server.clone(), layer.clone().filter(|_| tls));
+            spawn_local(async move { server.accept(listener, layer).await })
         })
         .collect();
     terminate.recv().await;
--- a/crates/node/src/setup.rs
+++ b/crates/node/src/setup.rs
@@ -1,12 +1,17 @@
 //! What a node is made of: from the platform's configuration, an operator's file, or both.
 
 use crate::config::{Config, ConfigError};
+use applemill_keeper::{Keeper, Settings as KeeperSettings};
 use applemill_operator::{self as operator, FileError, Operator, PoolSetup, Source};
+use applemill_routes::File;
+use applemill_tls::Terms;
 use applemill_upstream::Dialect;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -33,12 +38,31 @@
     pub stop: Duration,
 }
 
+/// Where clients connect.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// The address.
+    pub address: SocketAddr,
+    /// By TLS.
+    pub tls: bool,
+}
+
+/// TLS, where a listener speaks it.
+pub struct TlsSetup {
+    /// Keeps the certificates.
+    pub keeper: Keeper,
+    /// What handshakes may take.
+    pub terms: Terms,
+    /// Told to the keeper: bids wait.
+    pub pressed: Arc<AtomicBool>,
+}
+
 /// A node that may start.
 pub struct Setup {
     /// Its name.
     pub name: String,
     /// Where clients connect.
-    pub listeners: Vec<SocketAddr>,
+    pub listeners: Vec<Listen>,
     /// Seed of the decisions.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -61,6 +85,8 @@
     pub peers: Option<PeerSetup>,
     /// The operator's file.
     pub operator: Option<Operator>,
+    /// TLS; none where no listener speaks it.
+    pub tls: Option<TlsSetup>,
     /// What the check warns of in it.
     pub warnings: String,
 }
@@ -79,6 +105,9 @@
     /// The operator's file is.
     #[error("operator's file: {0}")]
     File(#[from] FileError),
+    /// Files that it names are.
+    #[error("certificates:\n{}", .0.join("\n"))]
+    Certificates(Vec<String>),
 }
 
 impl Setup {
@@ -128,7 +157,7 @@
         }
         Ok(Setup {
             name: config.name,
-            listeners: vec![config.listen],
+            listeners: vec![Listen { address: config.listen, tls: false }],
             seed: config.seed,
             sockets: config.sockets,
             memory: config.memory,
@@ -140,6 +169,7 @@
             pools,
             peers,
             operator,
+            tls: None,
             warnings,
         })
     }
@@ -148,9 +178,13 @@
         let start = Operator::start(file, None, 0)?;
         let version = start.operator.current();
         let (node, listeners) = (&version.rules.file.node, &version.rules.file.listeners);
+        let tls = tls(&version.rules.file)?;
         Ok(Setup {
             name: node.name.clone(),
-            listeners: listeners.iter().map(|l| l.address.value).collect(),
+            listeners: listeners
+                .iter()
+                .map(|l| Listen { address: l.address.value, tls: l.is_tls() })
+                .collect(),
             // Nobody hands in a seed here; that of hash tables is drawn anew with each process.
             seed: RandomState::new().hash_one(std::process::id()),
             sockets: node.sockets as usize,
@@ -168,7 +202,22 @@
             pools: start.pools,
             peers: None,
             operator: Some(start.operator),
+            tls,
             warnings: start.warnings,
         })
     }
 }
+
+/// Starts to keep certificates, where a listener needs them.
+fn tls(file: &File) -> Result<Option<TlsSetup>, SetupError> {
+    if !file.listeners.iter().any(applemill_routes::Listener::is_tls) {
+        return Ok(None);
+    }
+    let pressed = Arc::new(AtomicBool::new(false));
+    let keeper = Keeper::start(KeeperSettings { file, pressed: pressed.clone() });
+    let terms = Terms {
+        longest: Duration::from_secs_f64(file.tls.handshake_ms / 1000.0),
+        at_once: file.tls.handshakes as usize,
+    };
+    Ok(Some(TlsSetup { keeper: keeper.map_err(SetupError::Certificates)?, terms, pressed }))
+}
--- a/crates/operator/src/running.rs
+++ b/crates/operator/src/running.rs
@@ -133,10 +133,10 @@
     fn take(&self, rules: Rules, pools: &[RunningPool]) -> Result<(), String> {
         let old = self.current();
         let fixed = |f: &File| {
-            let addresses: Vec<_> = f.listeners.iter().map(|l| l.address.value).collect();
+            let addresses: Vec<_> = f.listeners.iter().map(|l| (l.address.value, l.is_tls())).collect();
             let tenants: Vec<_> =
                 f.tenants.iter().map(|t| (t.name.value.clone(), t.rate.to_bits())).collect();
-            (addresses, f.node.clone(), f.fleet.clone(), tenants)
+            (addresses, f.node.clone(), f.fleet.clone(), tenants, f.tls.held())
         };
         let (was, is) = (fixed(&old.rules.file), fixed(&rules.file));
         let held = [
@@ -144,6 +144,7 @@
             ("[node]", without_places(&was.1) != without_places(&is.1)),
             ("[fleet]", was.2 != is.2),
             ("tenants", was.3 != is.3),
+            ("[tls]", was.4 != is.4),
         ];
         if let Some((what, _)) = held.into_iter().find(|(_, changed)| *changed) {
             return Err(format!("{what} hold from start to end; start the node again to change them"));
--- a/crates/renewal/src/record.rs
+++ b/crates/renewal/src/record.rs
@@ -9,6 +9,8 @@
 pub const WEEK_S: Seconds = 7.0 * 86_400.0;
 /// Nobody is waited for longer than this, whatever is asked: a slip of a header, or of a clock, must not last for ever.
 const LONGEST_BLOCK_S: Seconds = 2.0 * WEEK_S;
+/// Nobody is asked again sooner, however short a life is.
+const LEAST_WAIT_S: Seconds = 0.25;
 /// Characters of an authority's own words that are kept.
 const WORDS: usize = 500;
 
@@ -132,7 +134,7 @@
         // What an order costs is spread over what is left of the time, so that the last one is not gone in its first hour.
         let spread = if made { until_end / (left + 1) as f64 } else { 0.0 };
         let spread = spread.min(WEEK_S / (left + 1) as f64);
-        let wait = wait.max(spread) * (1.0 + 0.25 * draw.clamp(0.0, 1.0));
+        let wait = wait.max(spread).max(LEAST_WAIT_S) * (1.0 + 0.25 * draw.clamp(0.0, 1.0));
         door.shut_until = now + wait.max(asked).min(LONGEST_BLOCK_S);
     }
 
--- a/crates/routes/src/fields.rs
+++ b/crates/routes/src/fields.rs
@@ -248,6 +248,7 @@
     f("contact", Kind::Texts, "Whom it may write to, such as mailto:ops@auction.lv."),
     f("account", Kind::Text, "An account that it has given out (RFC 8555, 7.3.4)."),
     f("account_key", Kind::Text, "A file with that account's key, in base64url."),
+    f("timeout", Kind::Duration, "An answer of its that takes longer is none."),
 ];
 
 pub(crate) const SERVER: &[Field] = &[
--- a/crates/routes/src/model/tls.rs
+++ b/crates/routes/src/model/tls.rs
@@ -46,6 +46,8 @@
     pub account: Option<At<String>>,
     /// ... and a file with the key, in base64url.
     pub account_key: Option<At<String>>,
+    /// An answer of its that takes longer is none.
+    pub timeout_ms: f64,
 }
 
 /// How a name is proven to an authority.
@@ -75,3 +77,12 @@
     /// A certificate is renewed when this part of its time is left.
     pub renew_part: f64,
 }
+
+impl Tls {
+    /// What holds from a node's start to its end, to be compared: the rest may change.
+    pub fn held(&self) -> (u64, u32, Option<String>, Option<String>) {
+        let keys = self.ticket_keys.as_ref().map(|t| t.value.clone());
+        let state = self.state.as_ref().map(|t| t.value.clone());
+        (self.handshake_ms.to_bits(), self.handshakes, keys, state)
+    }
+}
--- a/crates/routes/src/read/tls.rs
+++ b/crates/routes/src/read/tls.rs
@@ -16,7 +16,7 @@
                 _ => Proof::Http,
             },
             orders_a_week: self.count("orders_a_week", 1, 1_000).map_or(5, |n| n.value),
-            renew_part: self.number("renew_part", 0.1, 0.8).unwrap_or(1.0 / 3.0),
+            renew_part: self.number("renew_part", 0.1, 0.8).unwrap_or(0.4),
         }
     }
 
@@ -52,6 +52,7 @@
             contact: self.texts("contact"),
             account: self.text("account"),
             account_key: self.text("account_key"),
+            timeout_ms: self.duration("timeout").map_or(30_000.0, |d| d.value),
             name,
         }
     }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod quick;
 mod relay;
+mod secure;
 mod streams;
 
 pub use auction::*;
@@ -25,6 +26,7 @@
 pub use node::*;
 pub use quick::*;
 pub use relay::*;
+pub use secure::*;
 pub use streams::*;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
--- a/crates/tls/src/accept.rs
+++ b/crates/tls/src/accept.rs
@@ -53,11 +53,20 @@
     pub failed: u64,
 }
 
-/// Handshakes under way: by number, so that the first is the oldest; whom to tell to give up.
+/// One under way.
+#[derive(Default)]
+struct Going {
+    /// To be told to give up.
+    give_up: Notify,
+    /// It was answered: a whole hello came.
+    answered: Cell<bool>,
+}
+
+/// Handshakes under way: by number, so that the first is the oldest.
 #[derive(Default)]
 struct UnderWay {
     next: Cell<u64>,
-    all: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    all: RefCell<BTreeMap<u64, Rc<Going>>>,
     counts: Cell<Handshakes>,
 }
 
@@ -65,24 +74,27 @@
 struct Place {
     number: u64,
     under_way: Rc<UnderWay>,
-    give_up: Rc<Notify>,
+    going: Rc<Going>,
 }
 
 impl UnderWay {
-    /// Takes a place; where there is none, the oldest gives up its own.
+    /// Takes a place; where there is none, the oldest that is silent gives up its own: a flood of silent ones pushes out
+    /// itself, and not who has said hello and is about to be done.
     fn enter(self: &Rc<Self>, most: usize) -> Place {
         let number = self.next.get();
         self.next.set(number + 1);
         let mut all = self.all.borrow_mut();
-        if all.len() >= most.max(1)
-            && let Some((_, oldest)) = all.pop_first()
-        {
-            oldest.notify_one();
+        if all.len() >= most.max(1) {
+            let silent = all.iter().find(|(_, g)| !g.answered.get()).map(|(number, _)| *number);
+            let oldest = silent.or_else(|| all.keys().next().copied());
+            if let Some(oldest) = oldest.and_then(|number| all.remove(&number)) {
+                oldest.give_up.notify_one();
+            }
         }
-        let give_up = Rc::new(Notify::new());
-        all.insert(number, give_up.clone());
+        let going = Rc::new(Going::default());
+        all.insert(number, going.clone());
         drop(all);
-        Place { number, under_way: self.clone(), give_up }
+        Place { number, under_way: self.clone(), going }
     }
 
     fn count(&self, add: impl FnOnce(&mut Handshakes)) {
@@ -138,13 +150,13 @@
 impl Layer for Tls {
     fn open(&self, socket: Socket) -> Opening {
         let place = self.under_way.enter(self.terms.at_once);
-        let paced = Paced { socket, turns: Some((self.turns.clone(), Rc::default())) };
+        let paced = Paced { socket, turns: Some((self.turns.clone(), Rc::default(), place.going.clone())) };
         let (accept, longest) = (self.acceptor.accept(paced), self.terms.longest);
         Box::pin(async move {
             let opened = tokio::select! {
                 opened = accept => opened,
                 () = tokio::time::sleep(longest) => Err(ErrorKind::TimedOut.into()),
-                () = place.give_up.notified() => Err(ErrorKind::WouldBlock.into()),
+                () = place.going.give_up.notified() => Err(ErrorKind::WouldBlock.into()),
             };
             let under_way = place.under_way.clone();
             drop(place);
@@ -173,7 +185,15 @@
 /// A socket that reads in turn with others as long as its handshake is under way.
 struct Paced {
     socket: Socket,
-    turns: Option<(Turns, Rc<Turn>)>,
+    turns: Option<(Turns, Rc<Turn>, Rc<Going>)>,
+}
+
+impl Paced {
+    fn answers(&self) {
+        if let Some((.., going)) = &self.turns {
+            going.answered.set(true);
+        }
+    }
 }
 
 impl AsyncRead for Paced {
@@ -182,7 +202,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some((turns, turn)) = &self.turns {
+        if let Some((turns, turn, _)) = &self.turns {
             ready!(turns.poll(turn, cx));
         }
         Pin::new(&mut self.socket).poll_read(cx, buf)
@@ -191,6 +211,7 @@
 
 impl AsyncWrite for Paced {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.answers();
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
@@ -199,6 +220,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.answers();
         Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
     }
 
