ACME: certificates from an authority, one order for a fleet, through all its trouble

An authority among the stand-ins, strict by RFC 8555 in signatures, nonces, addresses and names, which fetches proofs and does as a script says.

Found by them and mended: a time of day taken for a length shut a door for a fortnight at any Retry-After; a certificate for a challenge was not served, as a check of its key cannot read it; renewals are named to an authority only once it has shown that it knows them.

--- a/crates/certs/src/check.rs
+++ b/crates/certs/src/check.rs
@@ -149,5 +149,7 @@
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 ) -> Option<Arc<CertifiedKey>> {
-    CertifiedKey::from_der(chain, key, &default_provider()).ok().map(Arc::new)
+    // Not compared: one with an extension that is critical and says nothing here, as a challenge's has, is not read.
+    let signer = default_provider().key_provider.load_private_key(key).ok()?;
+    Some(Arc::new(CertifiedKey::new(chain, signer)))
 }
--- a/crates/keeper/src/acme.rs
+++ b/crates/keeper/src/acme.rs
@@ -1,5 +1,6 @@
 //! One order of a certificate from one authority (RFC 8555), by instant-acme, and what went wrong with it.
 
+use crate::clock::wall_s;
 use crate::http::{Back, Client, Said, account_key};
 use crate::proofs::Proof;
 use crate::store::Store;
@@ -87,7 +88,7 @@
     let client = || Client::new(root, timeout_of(authority), back.clone()).map_err(local);
     let said = |e: Error| {
         let trouble = trouble(&e, back);
-        Failed { trouble, made: false, noted: false, words: e.to_string() }
+        Failed { trouble, made: false, noted: false, words: words(&e, back) }
     };
     let name = &authority.name.value;
     let Some(directory) = &authority.directory else { return Err(local("no directory")) };
@@ -120,7 +121,7 @@
     }
 
     fn said(&self, e: &Error) -> Failed {
-        self.failed(trouble(e, &self.back), e)
+        self.failed(trouble(e, &self.back), words(e, &self.back))
     }
 
     async fn run(&mut self, place: &impl Place) -> Result<(String, String), Failed> {
@@ -237,9 +238,19 @@
     kind.ends_with(":alreadyReplaced") || kind.ends_with(":malformed")
 }
 
+/// What an error says; the status too, where it is of what nobody could read.
+fn words(e: &Error, back: &Back) -> String {
+    match back.lock().unwrap_or_else(PoisonError::into_inner).status {
+        status @ 400.. if !matches!(e, Error::Api(_)) => format!("status {status}: {e}"),
+        _ => e.to_string(),
+    }
+}
+
 /// What an error means for the next try; by the status of the last answer where its words say nothing.
 fn trouble(e: &Error, back: &Back) -> Trouble {
     let Said { status, back } = *back.lock().unwrap_or_else(PoisonError::into_inner);
+    // A time of day there, a length here.
+    let back = back.map(|at| (at - wall_s()).max(0.0));
     let kind = match e {
         Error::Api(p) => p.r#type.as_deref().and_then(|t| t.rsplit(':').next()).unwrap_or_default(),
         _ => "",
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -18,5 +18,5 @@
 pub use files::{load, read_tickets};
 pub use keeper::{Keeper, Settings};
 pub use proofs::Proofs;
-pub use standing::{Shown, survey};
+pub use standing::{Shown, ask_for, survey};
 pub use store::Store;
--- a/crates/keeper/src/order.rs
+++ b/crates/keeper/src/order.rs
@@ -266,7 +266,8 @@
         authority,
         names: &names,
         kind: holding.inner.wanted().terms.proof,
-        replaces: (!chain.is_empty()).then_some(chain),
+        // Only where the authority has shown that it knows of renewals (RFC 9773, 5).
+        replaces: record.borrow().window.and((!chain.is_empty()).then_some(chain)),
     };
     let around = Around { holding, record, up: RefCell::default() };
     let beats = async {
--- a/crates/keeper/src/standing.rs
+++ b/crates/keeper/src/standing.rs
@@ -1,10 +1,11 @@
 //! How certificates stand, for logs, `/up` and the command line.
 
 use crate::clock::wall_s;
-use crate::shelf::{Kept, Wanted};
+use crate::order::WISHES;
+use crate::shelf::{Kept, Wanted, certificates_of};
 use crate::store::Store;
-use applemill_renewal::{Seconds, Standing};
-use applemill_routes::{Certificate, File};
+use applemill_renewal::{Policy, Record, Seconds, Standing, Step};
+use applemill_routes::{Certificate, CertificateOrigin, File};
 use std::fmt::{self, Display, Formatter};
 use std::path::Path;
 
@@ -19,6 +20,8 @@
     pub not_after: Option<Seconds>,
     /// From when on it is to be renewed; none where it comes from files.
     pub due: Option<Seconds>,
+    /// The authority that would be asked now, if it were due; none where none may be.
+    pub door: Option<String>,
     /// Now.
     pub now: Seconds,
     /// Orders in the last week.
@@ -75,12 +78,39 @@
         standing: record.standing(&policy, now),
         not_after: record.held.map(|h| h.not_after),
         due: (!authorities.is_empty()).then(|| record.due(&policy)),
+        door: door(&record, &policy, now).and_then(|n| Some(authorities.get(n)?.name.value.clone())),
         now,
         orders: record.orders.len(),
         words: words.collect(),
     }
 }
 
+/// Asks whichever node has the lease to renew a certificate now: the number that is to be replaced.
+///
+/// # Errors
+/// There is none of this name, it comes from no authority, or the folder cannot be written.
+pub fn ask_for(file: &File, name: &str) -> Result<u64, String> {
+    let certificate = file.certificates.iter().find(|c| c.name.value == name);
+    let certificate = certificate.ok_or_else(|| format!("no certificate {name:?}"))?;
+    let state =
+        file.tls.state.as_ref().filter(|_| matches!(certificate.origin, CertificateOrigin::Authorities(_)));
+    let state = state.ok_or_else(|| format!("certificate {name:?} comes from files"))?;
+    let store = Store::new(Path::new(&state.value));
+    let told = |e: std::io::Error| format!("{}: {e}", state.value);
+    let number = store.numbers(&certificates_of(name)).map_err(told)?.first().copied().unwrap_or(0);
+    store.put(WISHES, name, number.to_string().as_bytes()).map_err(told)?;
+    Ok(number)
+}
+
+/// The authority that an order would go to now.
+fn door(record: &Record, policy: &Policy, now: Seconds) -> Option<usize> {
+    let due = Record { revoked: true, ..record.clone() };
+    match due.next(policy, now) {
+        Step::Order(n) => Some(n),
+        Step::Wait(_) => None,
+    }
+}
+
 /// How the certificates of a file stand, by what lies on the disk; whether a node runs is of no matter.
 pub fn survey(file: &File) -> Vec<Shown> {
     let wanted = Wanted {
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::print::print;
 use crate::setup::Setup;
-use crate::{config, demo, serve};
+use crate::{certs, config, demo, serve};
 use applemill_log as log;
 use applemill_operator::{self as operator, FileError};
 use applemill_routes::{Platform, Request, Severity, explain, load_bytes, schema};
@@ -66,10 +66,45 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tells how the certificates of an operator's file stand, by what lies on the disk, whether a node runs or not.
+    Certs {
+        #[command(subcommand)]
+        what: CertsCommand,
+    },
     /// Prints a JSON Schema of the operator's file, for editors.
     Schema,
 }
 
+#[derive(Debug, Subcommand)]
+enum CertsCommand {
+    /// All of them, one a line. Exit code 0: all is well; 1: one should be looked at; 2: the file cannot be used.
+    List {
+        /// The operator's file.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// As JSON, for programs.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Those that should be looked at, and nothing where all is well; for a cron job. Exit codes as for list.
+    Check {
+        /// The operator's file.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Has one renewed now by a node that runs, within the week's orders.
+    Renew {
+        /// The operator's file.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// The certificate.
+        name: String,
+        /// Only tells what would be done.
+        #[arg(long)]
+        dry_run: bool,
+    },
+}
+
 #[derive(Debug, Args)]
 struct OperatorFile {
     /// The operator's file.
@@ -103,6 +138,7 @@
         Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Explain { file, request, headers }) => tell(&file, &request, &headers),
         Some(Command::Demo { seconds, json }) => demonstrate(seconds.map(Duration::from_secs), json),
+        Some(Command::Certs { what }) => certificates(&what),
         Some(Command::Schema) => {
             print(&format!("{:#}\n", schema()));
             ExitCode::SUCCESS
@@ -174,6 +210,23 @@
     if rules.is_some() { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
 }
 
+fn certificates(what: &CertsCommand) -> ExitCode {
+    let (path, wanted) = match what {
+        CertsCommand::List { file, json } => (file, certs::Wanted::List { json: *json }),
+        CertsCommand::Check { file } => (file, certs::Wanted::Check),
+        CertsCommand::Renew { file, name, dry_run } => (file, certs::Wanted::Renew { name, dry: *dry_run }),
+    };
+    let rules = match operator::load(path, None) {
+        Ok((_, rules)) => rules,
+        Err(e) => return refuse(&e.to_string()),
+    };
+    match certs::run(&rules.file, &wanted) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => refuse(&e),
+    }
+}
+
 fn tell(file: &OperatorFile, request: &str, headers: &[String]) -> ExitCode {
     let platform = match file.allowed() {
         Ok(platform) => platform,
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 //! process. For tests, tools and the demonstration; it knows the protocols and leaves every decision to the node.
 
 mod auction;
+mod authority;
 mod bids;
 mod by_hand;
 mod client;
@@ -16,6 +17,7 @@
 mod streams;
 
 pub use auction::*;
+pub use authority::*;
 pub use bids::*;
 pub use by_hand::*;
 pub use client::*;
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -246,6 +246,16 @@
         self.signal("-TERM");
     }
 
+    /// Stops its process where it is.
+    pub fn halt(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
