--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! object to standard output; the exit code is 1 where a promise is broken. The node is this program itself, started
 //! again as one, so that one build has all.
 
+mod acme;
 mod request;
 mod routes;
 mod states;
@@ -43,6 +44,8 @@
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum Name {
+    /// Certificates: a fleet's renewals through trouble, what handshakes cost, a flood of them.
+    Acme,
     /// Request: what one costs the node, beside a bare relay, and whether that grows with what the node holds.
     Request,
     /// Routes: time of a lookup, cost of a request, bids through faults.
@@ -124,6 +127,7 @@
     }
     let cli = Cli::parse();
     let measured = match (cli.name, cli.story) {
+        (Some(Name::Acme), _) => acme::measure(cli.scale),
         (Some(Name::Request), _) => request::measure(cli.scale),
         (Some(Name::Routes), _) => routes::measure(cli.scale),
         (Some(Name::Streams), _) => streams::measure(cli.scale),
