--- a/crates/ledger/src/ages.rs
+++ b/crates/ledger/src/ages.rs
@@ -80,3 +80,73 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// So many requests on connections of an age, and how many of them broke.
+    fn noted(ages: &mut Ages, now: f64, age_ms: Option<f64>, used: u32, broken: u32) {
+        for n in 0..used {
+            ages.note(now, age_ms, n < broken);
+        }
+    }
+
+    #[test]
+    fn steps_double_every_second_time_from_ten_milliseconds_on() {
+        for (age_ms, step) in [(0.0, 1), (10.0, 1), (14.1, 1), (14.2, 2), (19.9, 2), (20.0, 3), (1e9, 23)] {
+            assert_eq!(Ages::step(age_ms), step, "{age_ms}");
+        }
+        let begins: Vec<f64> = [1, 2, 3, 5].map(Ages::from_ms).to_vec();
+        assert!((begins[1] - 14.142).abs() < 0.001);
+        assert_eq!((begins[0], begins[2], begins[3]), (10.0, 20.0, 40.0));
+    }
+
+    #[test]
+    fn an_age_from_which_clearly_more_break_is_found_by_four_breaks() {
+        let mut ages = Ages::new();
+        noted(&mut ages, 0.0, None, 100, 1);
+        noted(&mut ages, 0.0, Some(30.0), 100, 1);
+        noted(&mut ages, 0.0, Some(200.0), 10, 2);
+        assert_eq!(ages.limit_ms(), None, "four breaks in all, of which two are older");
+        noted(&mut ages, 0.0, Some(200.0), 2, 2);
+        assert_eq!(ages.limit_ms(), Some(160.0));
+        // Older ones that are good say that it was chance.
+        noted(&mut ages, 0.0, Some(3_000.0), 100, 0);
+        assert_eq!(ages.limit_ms(), None);
+    }
+
+    #[test]
+    fn what_breaks_at_any_age_is_no_age_and_new_ones_have_none() {
+        let mut ages = Ages::new();
+        noted(&mut ages, 0.0, None, 10, 5);
+        assert_eq!(ages.limit_ms(), None, "new ones alone");
+        for age_ms in [15.0, 100.0, 1_000.0] {
+            noted(&mut ages, 0.0, Some(age_ms), 10, 5);
+        }
+        assert_eq!(ages.limit_ms(), None);
+        // Of more than twice the share, and a tenth more.
+        let mut ages = Ages::new();
+        noted(&mut ages, 0.0, None, 100, 20);
+        noted(&mut ages, 0.0, Some(15.0), 100, 20);
+        noted(&mut ages, 0.0, Some(100.0), 100, 50);
+        assert_eq!(ages.limit_ms(), None, "just as much as that");
+        noted(&mut ages, 0.0, Some(100.0), 1, 1);
+        assert_eq!(ages.limit_ms(), Some(80.0));
+    }
+
+    #[test]
+    fn evidence_is_half_as_much_after_half_a_minute_and_none_fades_twice() {
+        let mut ages = Ages::new();
+        noted(&mut ages, 0.0, Some(200.0), 6, 6);
+        assert!(ages.limit_ms().is_some());
+        noted(&mut ages, 99.0, None, 1, 0);
+        assert_eq!(ages.seen[Ages::step(200.0)], (6.0, 6.0), "it fades every tenth of a second at most");
+        noted(&mut ages, 30_000.0, None, 1, 0);
+        assert_eq!(ages.seen[Ages::step(200.0)], (3.0, 3.0));
+        assert_eq!(ages.seen[0], (1.5, 0.0));
+        assert_eq!(ages.limit_ms(), None);
+        noted(&mut ages, 60_000.0, None, 1, 0);
+        assert_eq!(ages.seen[Ages::step(200.0)], (1.5, 1.5));
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,7 +11,7 @@
 use applemill_operator::{Operator, PoolSetup, RunningPool, Source};
 use applemill_routes::STREAM_FLOOR;
 use applemill_socket::{Descriptors, Layer};
-use applemill_tls::Tls;
+use applemill_tls::{Handshakes, Tls};
 use applemill_upstream::{BODY_LIMIT, Clock, Driver, Input, Peers, Pipes, Shared, Watch, listing};
 use birchspoke::Balancer;
 use birchspoke::interface::{ListKind, Settings};
@@ -166,13 +166,15 @@
 
 /// What a node with certificates tells by itself: proofs of names, and beside `/up` how certificates and the work on them
 /// stand.
-fn pages(keeper: Rc<Keeper>) -> OwnPages {
+fn pages(keeper: Rc<Keeper>, tls: Rc<Tls>) -> OwnPages {
     let proofs = keeper.proofs();
     Box::new(move |path| match path {
         "/up" => {
             let certificates = keeper.shown().into_iter().map(|c| format!("{c}\n"));
             let late = keeper.tasks().into_iter().filter(|t| t.state == State::Late);
-            Some(certificates.chain(late.map(|t| format!("late: {}\n", t.name))).collect())
+            let Handshakes { full, resumed, failed } = tls.handshakes();
+            let shaken = format!("handshakes: {full} full, {resumed} resumed, {failed} failed\n");
+            Some(certificates.chain(late.map(|t| format!("late: {}\n", t.name))).chain([shaken]).collect())
         }
         _ => proofs.answer(path.rsplit('/').next()?),
     })
@@ -230,11 +232,11 @@
     let mut moves = moves.into_iter();
     let platform = if setup.platform { moves.next().flatten() } else { None };
     let _others: Vec<_> = moves.collect();
-    let (keeper, layer) = match setup.tls {
+    let (keeper, tls) = match setup.tls {
         Some(TlsSetup { keeper, terms, pressed }) => {
-            let layer: Rc<dyn Layer> = Rc::new(Tls::new(keeper.served(), keeper.tickets(), terms)?);
+            let tls = Rc::new(Tls::new(keeper.served(), keeper.tickets(), terms)?);
             spawn_local(watch_loop(pressed));
-            (Some(Rc::new(keeper)), Some(layer))
+            (Some(Rc::new(keeper)), Some(tls))
         }
         None => (None, None),
     };
@@ -269,7 +271,14 @@
         lanes: 2 * setup.streams.count,
     });
     let reader = Reader::new(pools.clone(), classes, operator, memory, pipes);
-    let server = Server::new(pools.clone(), reader, setup.open_cap, buffer, descriptors, keeper.map(pages));
+    let server = Server::new(
+        pools.clone(),
+        reader,
+        setup.open_cap,
+        buffer,
+        descriptors,
+        keeper.zip(tls.clone()).map(|(keeper, tls)| pages(keeper, tls)),
+    );
     if !setup.warnings.is_empty() {
         log::line(&first_of(&format!("the operator's file has warnings\n{}", setup.warnings)));
     }
@@ -278,8 +287,9 @@
         log::line(&format!("{} serves on {}{by}", setup.name, at.address));
     }
     let accepting: Vec<_> = (listeners.into_iter())
-        .map(|(listener, tls)| {
-            let (server, layer) = (server.clone(), layer.clone().filter(|_| tls));
+        .map(|(listener, secure)| {
+            let layer = tls.clone().filter(|_| secure).map(|tls| tls as Rc<dyn Layer>);
+            let server = server.clone();
             spawn_local(async move { server.accept(listener, layer).await })
         })
         .collect();
--- a/crates/node/tests/node_tls.rs
+++ b/crates/node/tests/node_tls.rs
@@ -73,6 +73,11 @@
     // Who speaks plainly to it is not answered, and hurts nobody.
     assert!(attempt(site.node.address, BID).is_none());
     assert_eq!(site.record.count(), 13, "each bid once");
+    let up = String::from_utf8_lossy(&ask(site.plain, UP).body).into_owned();
+    assert!(
+        up.contains("certificate a: fresh") && up.contains("handshakes: 4 full, 1 resumed, 5 failed"),
+        "{up}"
+    );
     assert_eq!(ask(site.plain, BID).status(), 200);
 }
 
