TLS: streams over it, tested; proofs that a dead node left up are swept

Need: every front's rules hold over TLS, cuts among them; a node that dies in its order leaves proofs in the folder for ever.

Change: a test of streams over TLS, both ways, with hashes and three kinds of cut; what has lain among the proofs for three hours goes with the next order.

--- a/crates/keeper/src/order.rs
+++ b/crates/keeper/src/order.rs
@@ -23,6 +23,8 @@
 const LOOK_MS: f64 = 500.0;
 /// Proofs are up at all nodes after this: two of their looks at the folder.
 const SPREAD: Duration = Duration::from_millis(600);
+/// No proof is looked for so long after it was put up.
+const LONGEST_PROOF: Duration = Duration::from_secs(3 * 3600);
 /// Where proofs lie.
 pub(crate) const PROOFS: &str = "proofs";
 /// Where an operator's wishes for a renewal lie, by certificate: the number that is to be replaced.
@@ -167,6 +169,8 @@
         Next::Held { number, .. } => number,
     };
     let holding = Holding { inner, store, name, number, lease: &lease };
+    // A node that died in its order has left its proofs up.
+    store.sweep(PROOFS, LONGEST_PROOF);
     // Another may have done it since it was last looked.
     inner.look(name);
     let done = order_if_due(&holding, certificate);
--- a/crates/keeper/src/store.rs
+++ b/crates/keeper/src/store.rs
@@ -7,6 +7,7 @@
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 /// Nothing that is kept is longer.
 const LONGEST: u64 = 1 << 20;
@@ -164,6 +165,18 @@
         self.create(shelf, &number_name(number), bytes)
     }
 
+    /// Takes away what has lain on a shelf for longer: who put it there has died, or would have taken it away. By the
+    /// folder's own times.
+    pub fn sweep(&self, shelf: &str, longer_than: Duration) {
+        let Ok(folder) = fs::read_dir(self.folder(shelf)) else { return };
+        for entry in folder.flatten() {
+            let written = entry.metadata().and_then(|about| about.modified());
+            if written.is_ok_and(|at| at.elapsed().is_ok_and(|age| age > longer_than)) {
+                let _ = fs::remove_file(entry.path());
+            }
+        }
+    }
+
     /// Takes away all but the highest numbers.
     pub fn tidy(&self, shelf: &str) {
         for number in self.numbers(shelf).unwrap_or_default().into_iter().skip(KEPT) {
@@ -211,6 +224,20 @@
         assert_eq!(store.names("certs/a.lv").unwrap().len(), 3, "nothing is left beside them");
     }
 
+    #[test]
+    fn what_somebody_left_behind_goes_after_a_while_and_nothing_else() {
+        let (folder, store) = Folder::new("sweep");
+        for name in ["old", "new"] {
+            store.put("proofs", name, b"x").unwrap();
+        }
+        let hour = Duration::from_secs(3600);
+        let file = File::options().write(true).open(folder.0.join("proofs/old")).unwrap();
+        file.set_modified(std::time::SystemTime::now() - 2 * hour).unwrap();
+        store.sweep("proofs", hour);
+        store.sweep("none", hour);
+        assert_eq!(store.names("proofs").unwrap(), ["new"]);
+    }
+
     #[test]
     fn of_many_who_create_a_number_one_does() {
         let (_folder, store) = Folder::new("create");
--- a/crates/node/tests/node_tls.rs
+++ b/crates/node/tests/node_tls.rs
@@ -222,3 +222,35 @@
     );
     assert!(node.ended().success());
 }
+
+#[test]
+fn streams_pass_over_tls_and_one_that_is_cut_never_looks_whole() {
+    let (folder, by) = (Folder::new("streams"), Issuer::new("root"));
+    let a = certificate(&folder, "a", "[\"a.lv\"]", &by.pair(&["a.lv"], -10, DAY));
+    let ((server, uploads), plain) = (streamer().unwrap(), free_address());
+    let streamed =
+        "body = \"stream\"\nanswer = \"stream\"\nbody_limit = \"8MiB\"\nanswer_limit = \"8MiB\"\n";
+    let node = Node::launch_by_file(&file(&[server], plain, &format!("{streamed}{a}")));
+    wait_for("it serves", || attempt(plain, UP).is_some_and(|m| m.status() == 200));
+    let client = Secure::trusting(&by.root());
+    let get = |path: &str| {
+        let mut client = client.connect(node.address, "a.lv").unwrap();
+        let ask = format!("GET {path} HTTP/1.1\r\nHost: a.lv\r\n\r\n");
+        client.stream.get_mut().write_all(ask.as_bytes()).unwrap();
+        let head = Message::read_head(&mut client.stream)?;
+        Some((head.status(), read_body(&head, &mut client.stream, |_| true)))
+    };
+    for path in ["/sized/3000000", "/chunked/3000000"] {
+        let (status, body) = get(path).unwrap();
+        assert_eq!((status, body.whole, body.sum), (200, true, Sum::of_body(3_000_000)), "{path}");
+    }
+    let mut up = client.connect(node.address, "a.lv").unwrap();
+    let head = "PUT /x HTTP/1.1\r\nHost: a.lv\r\nContent-Length: 1000000\r\n\r\n";
+    up.stream.get_mut().write_all(head.as_bytes()).unwrap();
+    send(up.stream.get_mut(), 1_000_000, false).unwrap();
+    assert_eq!(Message::read(&mut up.stream).unwrap().status(), 200);
+    assert_eq!(uploads.whole.lock().unwrap().last(), Some(&Sum::of_body(1_000_000)));
+    for path in ["/broken/100000", "/short/100000/99999", "/almost/100000"] {
+        assert!(!get(path).is_some_and(|(status, body)| status == 200 && body.whole), "{path} looks whole");
+    }
+}
