--- a/crates/certs/src/table.rs
+++ b/crates/certs/src/table.rs
@@ -1,7 +1,6 @@
 //! Which certificate a client gets: by the name that it asks for, the exact one before one with a star, and else the
 //! default one.
 
-use crate::names::covers;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -60,17 +59,6 @@
         self.entries.get(named.or(self.default)?)
     }
 
-    /// The same by going through all of them: what [`Table::find`] must come to.
-    pub fn find_slowly(&self, host: Option<&str>) -> Option<&Entry<K>> {
-        let host = host.map(|h| h.strip_suffix('.').unwrap_or(h).to_ascii_lowercase());
-        let good = |star: bool| {
-            let host = host.as_deref()?;
-            let fits = |n: &String| n.starts_with("*.") == star && covers(n, host);
-            self.entries.iter().find(|e| e.names.iter().any(fits))
-        };
-        good(false).or_else(|| good(true)).or_else(|| self.entries.iter().find(|e| e.default))
-    }
-
     /// All entries.
     pub fn entries(&self) -> &[Entry<K>] {
         &self.entries
--- a/crates/certs/tests/certs.rs
+++ b/crates/certs/tests/certs.rs
@@ -84,6 +84,18 @@
     assert!(covers("*.a.lv", "x.a.lv") && !covers("*.a.lv", "a.lv") && !covers("*.a.lv", "x.y.a.lv"));
 }
 
+/// What a table must come to, by going through all of its entries.
+fn slowly<K>(table: &Table<K>, host: Option<&str>) -> Option<Arc<K>> {
+    let host = host.map(|h| h.strip_suffix('.').unwrap_or(h).to_ascii_lowercase());
+    let good = |star: bool| {
+        let host = host.as_deref()?;
+        let fits = |n: &String| n.starts_with("*.") == star && covers(n, host);
+        table.entries().iter().find(|e| e.names.iter().any(fits))
+    };
+    let entry = good(false).or_else(|| good(true)).or_else(|| table.entries().iter().find(|e| e.default));
+    entry.map(|e| e.key.clone())
+}
+
 proptest! {
     #[test]
     fn the_table_finds_what_going_through_all_finds(
@@ -94,8 +106,7 @@
             name: n.to_string(), names, default, key: Arc::new(n),
         });
         let table = Table::new(entries.collect());
-        let found = |e: Option<&Entry<usize>>| e.map(|e| *e.key);
-        prop_assert_eq!(found(table.find(host.as_deref())), found(table.find_slowly(host.as_deref())));
+        prop_assert_eq!(table.find(host.as_deref()).map(|e| e.key.clone()), slowly(&table, host.as_deref()));
     }
 
     #[test]
--- a/crates/keeper/src/acme.rs
+++ b/crates/keeper/src/acme.rs
@@ -29,8 +29,6 @@
     pub(crate) trouble: Trouble,
     /// The order had been made, or may have been.
     pub(crate) made: bool,
-    /// It was noted in the record.
-    pub(crate) noted: bool,
     /// In the authority's own words, if it said anything.
     pub(crate) words: String,
 }
@@ -39,6 +37,8 @@
 pub(crate) trait Place {
     /// An order is made next.
     fn about_to_order(&self) -> io::Result<()>;
+    /// It was refused: there is none.
+    fn refused(&self);
     /// Proofs are wanted: they are up at all nodes once this is over.
     async fn put_up(&self, proofs: &[Proof]) -> io::Result<()>;
 }
@@ -57,7 +57,6 @@
     store: &'a Store,
     back: Back,
     made: bool,
-    noted: bool,
 }
 
 /// Orders a certificate: its chain and its key, in PEM, as they came.
@@ -66,7 +65,7 @@
     store: &Store,
     place: &impl Place,
 ) -> Result<(String, String), Failed> {
-    let mut session = Session { wish, store, back: Back::default(), made: false, noted: false };
+    let mut session = Session { wish, store, back: Back::default(), made: false };
     let longest = timeout_of(wish.authority) * STEPS;
     match tokio::time::timeout(longest, session.run(place)).await {
         Ok(done) => done,
@@ -79,7 +78,7 @@
 }
 
 fn local(words: impl ToString) -> Failed {
-    Failed { trouble: Trouble::Local, made: false, noted: false, words: words.to_string() }
+    Failed { trouble: Trouble::Local, made: false, words: words.to_string() }
 }
 
 /// An account, made where there is none.
@@ -88,7 +87,7 @@
     let client = || Client::new(root, timeout_of(authority), back.clone()).map_err(local);
     let said = |e: Error| {
         let trouble = trouble(&e, back);
-        Failed { trouble, made: false, noted: false, words: words(&e, back) }
+        Failed { trouble, made: false, words: words(&e, back) }
     };
     let name = &authority.name.value;
     let Some(directory) = &authority.directory else { return Err(local("no directory")) };
@@ -117,7 +116,7 @@
 
 impl Session<'_> {
     fn failed(&self, trouble: Trouble, words: impl ToString) -> Failed {
-        Failed { trouble, made: self.made, noted: self.noted, words: words.to_string() }
+        Failed { trouble, made: self.made, words: words.to_string() }
     }
 
     fn said(&self, e: &Error) -> Failed {
@@ -131,7 +130,7 @@
         let old = wish.replaces.and_then(first_of);
         let replaces = old.as_ref().and_then(|der| CertificateIdentifier::try_from(der).ok());
         place.about_to_order().map_err(|e| self.failed(Trouble::Local, e))?;
-        (self.made, self.noted) = (true, true);
+        self.made = true;
         let plain = NewOrder::new(&names);
         let made = match replaces {
             // An authority that knows of renewals may count them apart; one that does not is not asked (RFC 9773, 5).
@@ -149,7 +148,10 @@
             Ok(order) => order,
             Err(e) => {
                 // It was heard and refused: no order was made.
-                self.made = !matches!(e, Error::Api(_));
+                if matches!(e, Error::Api(_)) {
+                    self.made = false;
+                    place.refused();
+                }
                 if matches!(&e, Error::Api(p) if p.r#type.as_deref().is_some_and(of_account)) {
                     self.store.remove(ACCOUNTS, &wish.authority.name.value);
                 }
--- a/crates/keeper/src/files.rs
+++ b/crates/keeper/src/files.rs
@@ -1,5 +1,6 @@
 //! Certificates from files.
 
+use crate::shelf::on_a_line;
 use applemill_certs::{Checked, check};
 use applemill_routes::{Certificate, CertificateOrigin};
 use applemill_tls::Tickets;
@@ -46,26 +47,26 @@
 /// Reads and checks a certificate that comes from files; none where it does not.
 ///
 /// # Errors
-/// All that is wrong with it, a line each; nothing of a key is in it.
-pub fn load(certificate: &Certificate) -> Option<Result<Checked, Vec<String>>> {
+/// All that is wrong with it, on a line; nothing of a key is in it.
+pub(crate) fn load(certificate: &Certificate) -> Option<Result<Checked, String>> {
     let CertificateOrigin::Files { chain, key } = &certificate.origin else { return None };
     let (chain_bytes, key_bytes) = match (read(&chain.value), read(&key.value)) {
         (Ok(chain), Ok(key)) => (chain, key),
-        (chain, key) => return Some(Err(chain.err().into_iter().chain(key.err()).collect())),
+        (chain, key) => {
+            let both: Vec<String> = chain.err().into_iter().chain(key.err()).collect();
+            return Some(Err(both.join("; ")));
+        }
     };
     let names: Vec<String> = certificate.names.iter().map(|n| n.value.clone()).collect();
     let checked = check(&chain_bytes, &key_bytes, &names);
-    Some(checked.map_err(|faults| {
-        let files = format!("{} and {}", chain.value, key.value);
-        faults.iter().map(|f| format!("{files}: {f}")).collect()
-    }))
+    Some(checked.map_err(|faults| format!("{} and {}: {}", chain.value, key.value, on_a_line(&faults))))
 }
 
 /// Reads a file of keys for tickets.
 ///
 /// # Errors
 /// What is wrong with it; nothing of a key is in it.
-pub fn read_tickets(path: &str, into: &Tickets) -> Result<(), String> {
+pub(crate) fn read_tickets(path: &str, into: &Tickets) -> Result<(), String> {
     let bytes = read(path)?;
     into.replace(&String::from_utf8_lossy(&bytes)).map_err(|e| format!("{path}: {e}"))
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -5,7 +5,7 @@
 use crate::files::{Look, look, read_tickets};
 use crate::order::{HOLD_MS, PROOFS, step, wished};
 use crate::proofs::{Proof, Proofs};
-use crate::shelf::{Kept, Wanted, table};
+use crate::shelf::{Kept, Wanted, node_of, table};
 use crate::standing::{Shown, shown};
 use crate::store::Store;
 use applemill_background::{Budget, Line, Priority, Schedule, Spec, TaskId};
@@ -36,6 +36,8 @@
 const LONGEST_ORDER_MS: f64 = 7_200_000.0;
 /// Renewal information is asked for so often at least and at most, in seconds (RFC 9773, 4.3).
 const INFO_S: (f64, f64) = (60.0, 86_400.0);
+/// Where there is nothing to ask about yet.
+const NOTHING_YET_S: f64 = 1.0;
 /// While bids wait it is asked again so soon whether they still do.
 const PRESSED: Duration = Duration::from_millis(20);
 /// And never more often.
@@ -168,7 +170,7 @@
         let (_, _, chain) = self.record(name);
         let authority = wanted.certificate(name).and_then(|c| wanted.authorities_of(c).first().copied());
         let (Some(store), Some(authority)) = (&self.store, authority.filter(|_| !chain.is_empty())) else {
-            return INFO_S.0;
+            return NOTHING_YET_S;
         };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let asked =
@@ -216,10 +218,17 @@
     /// Files that are wrong, a line each.
     pub fn start(settings: Settings<'_>) -> Result<Keeper, Vec<String>> {
         let Settings { file, pressed } = settings;
-        let wanted = wanted(file);
+        let wanted = Wanted::of(file);
+        let store = wanted.terms.state.as_ref().map(|s| Store::new(Path::new(&s.value)));
+        let mut kept = BTreeMap::new();
         let mut wrong = Vec::new();
         for certificate in &wanted.certificates {
-            wrong.extend(crate::files::load(certificate).and_then(Result::err).into_iter().flatten());
+            let mut own = Kept::default();
+            let (_, why) = own.look(certificate, store.as_ref());
+            // What lies in the folder may be mended by the next order; what an operator put there, by nobody else.
+            let own_files = matches!(certificate.origin, CertificateOrigin::Files { .. });
+            wrong.extend(why.filter(|_| own_files));
+            kept.insert(certificate.name.value.clone(), own);
         }
         let tickets = wanted.terms.ticket_keys.as_ref().map(|file| {
             let tickets = Tickets::default();
@@ -231,18 +240,19 @@
         }
         let served = Arc::new(Served::default());
         let inner = Arc::new(Inner {
-            node: format!("{}/{}", file.node.name, file.fleet.number),
+            node: node_of(file),
             proofs: Arc::new(Proofs::new(served.clone())),
             served,
-            store: wanted.terms.state.as_ref().map(|s| Store::new(Path::new(&s.value))),
+            store,
             tickets,
             ticket_look: Mutex::default(),
             wanted: Mutex::new(Arc::new(wanted)),
-            kept: Mutex::default(),
+            kept: Mutex::new(kept),
             leases: Mutex::default(),
             tasks: Mutex::default(),
         });
         inner.look_at_all();
+        inner.serve();
         let (wake, woken) = channel();
         let run = Runner {
             inner: inner.clone(),
@@ -279,7 +289,7 @@
     /// one stays as it was.
     pub fn reload(&self, file: &File) {
         // One whose thread has ended keeps nothing any more; what is in service stays.
-        let _ = self.wake.send(Wake::Wanted(Arc::new(wanted(file))));
+        let _ = self.wake.send(Wake::Wanted(Arc::new(Wanted::of(file))));
     }
 
     /// How all stand.
@@ -303,14 +313,6 @@
     }
 }
 
-fn wanted(file: &File) -> Wanted {
-    Wanted {
-        terms: file.tls.clone(),
-        certificates: file.certificates.clone(),
-        authorities: file.authorities.clone(),
-    }
-}
-
 /// The thread's own.
 struct Runner {
     inner: Arc<Inner>,
@@ -434,15 +436,11 @@
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Some((id, run)) = self.running else {
-            self.lost = self.lost.saturating_sub(1);
-            return;
-        };
-        if run != ended.run {
+        let Some((id, _)) = self.running.filter(|(_, run)| *run == ended.run) else {
             // One that was left behind has come back after all.
             self.lost = self.lost.saturating_sub(1);
             return;
-        }
+        };
         self.running = None;
         match ended.again_ms {
             Ok(again) => {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -14,9 +14,6 @@
 mod standing;
 mod store;
 
-pub use clock::wall_s;
-pub use files::{load, read_tickets};
 pub use keeper::{Keeper, Settings};
 pub use proofs::Proofs;
 pub use standing::{Shown, ask_for, survey};
-pub use store::Store;
--- a/crates/keeper/src/order.rs
+++ b/crates/keeper/src/order.rs
@@ -5,12 +5,12 @@
 use crate::clock::{machine_ms, wall_s};
 use crate::keeper::Inner;
 use crate::proofs::Proof;
-use crate::shelf::{certificates_of, joined, records_of};
+use crate::shelf::{certificates_of, held, joined, on_a_line, records_of};
 use crate::store::Store;
 use applemill_certs::check;
 use applemill_lease::{Claim, Lease, Next};
 use applemill_log as log;
-use applemill_renewal::{Record, Step, Trouble};
+use applemill_renewal::{Held, Record, Step, Trouble};
 use applemill_routes::{Authority, Certificate};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -115,6 +115,10 @@
         self.holding.keep(&self.record.borrow())
     }
 
+    fn refused(&self) {
+        self.record.borrow_mut().refused();
+    }
+
     async fn put_up(&self, proofs: &[Proof]) -> io::Result<()> {
         for proof in proofs {
             let name = format!("{}-{:016x}", self.holding.number, fastrand::u64(..));
@@ -232,10 +236,6 @@
                 failed.trouble,
                 failed.words.replace('\n', " ")
             ));
-            if !failed.made {
-                // It was refused before there was one, so it costs nothing.
-                record.orders.pop_if(|_| failed.noted);
-            }
             let left = record.left(&policy, now);
             let what = (door, failed.trouble, failed.made);
             record.failed(now, what, left, &failed.words, fastrand::f64());
@@ -252,7 +252,7 @@
     wish.is_some_and(|w| String::from_utf8_lossy(&w).trim().parse::<u64>().is_ok_and(|n| n >= number))
 }
 
-type Got = (Vec<u8>, applemill_renewal::Held);
+type Got = (Vec<u8>, Held);
 
 /// Orders, while the lease is kept alive.
 fn run(
@@ -262,8 +262,7 @@
     record: &RefCell<Record>,
     chain: &[u8],
 ) -> Result<Got, Failed> {
-    let local =
-        |e: io::Error| Failed { trouble: Trouble::Local, made: false, noted: false, words: e.to_string() };
+    let local = |e: io::Error| Failed { trouble: Trouble::Local, made: false, words: e.to_string() };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(local)?;
     let names: Vec<String> = certificate.names.iter().map(|n| n.value.clone()).collect();
     let wish = Wish {
@@ -288,19 +287,14 @@
             () = beats => Err(Failed {
                 trouble: Trouble::Local,
                 made: true,
-                noted: true,
                 words: "the lease ran out".into(),
             }),
         }
     });
     let (chain, key) = ordered?;
-    let garbage = |words: String| Failed { trouble: Trouble::Garbage, made: true, noted: true, words };
-    let checked = check(chain.as_bytes(), key.as_bytes(), &names)
-        .map_err(|faults| garbage(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")))?;
+    let garbage = |words: String| Failed { trouble: Trouble::Garbage, made: true, words };
+    let checked =
+        check(chain.as_bytes(), key.as_bytes(), &names).map_err(|faults| garbage(on_a_line(&faults)))?;
     checked.timely(wall_s() as i64).map_err(|fault| garbage(fault.to_string()))?;
-    let held = applemill_renewal::Held {
-        not_before: checked.not_before as f64,
-        not_after: checked.not_after as f64,
-    };
-    Ok((joined(&chain, &key), held))
+    Ok((joined(&chain, &key), held(&checked)))
 }
--- a/crates/keeper/src/shelf.rs
+++ b/crates/keeper/src/shelf.rs
@@ -3,9 +3,9 @@
 use crate::clock::wall_s;
 use crate::files::{Look, load, look};
 use crate::store::Store;
-use applemill_certs::{Checked, Entry, Table, check};
+use applemill_certs::{Checked, Entry, Fault, Table, check};
 use applemill_renewal::{Held, Policy, Record, Seconds};
-use applemill_routes::{Authority, Certificate, CertificateOrigin, Tls as Terms};
+use applemill_routes::{Authority, Certificate, CertificateOrigin, File, Tls as Terms};
 use rustls::sign::CertifiedKey;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -18,6 +18,14 @@
 }
 
 impl Wanted {
+    pub(crate) fn of(file: &File) -> Wanted {
+        Wanted {
+            terms: file.tls.clone(),
+            certificates: file.certificates.clone(),
+            authorities: file.authorities.clone(),
+        }
+    }
+
     pub(crate) fn certificate(&self, name: &str) -> Option<&Certificate> {
         self.certificates.iter().find(|c| c.name.value == name)
     }
@@ -41,6 +49,16 @@
     }
 }
 
+/// What tells a node of a fleet from others: its place in the spread goes by it.
+pub(crate) fn node_of(file: &File) -> String {
+    format!("{}/{}", file.node.name, file.fleet.number)
+}
+
+/// What is wrong with a certificate, on a line.
+pub(crate) fn on_a_line(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
 /// Where certificates and their records lie in the folder.
 pub(crate) fn certificates_of(name: &str) -> String {
     format!("certificates/{name}")
@@ -82,7 +100,7 @@
     format!("{}\n{chain}", key.trim_end()).into_bytes()
 }
 
-fn held(checked: &Checked) -> Held {
+pub(crate) fn held(checked: &Checked) -> Held {
     Held { not_before: checked.not_before as Seconds, not_after: checked.not_after as Seconds }
 }
 
@@ -143,7 +161,7 @@
             return Ok(false);
         }
         self.looks = Some(looks);
-        self.take(loaded.map_err(|faults| faults.join("; "))?)?;
+        self.take(loaded?)?;
         Ok(true)
     }
 
@@ -163,7 +181,7 @@
             let (chain, key) = split(&pem);
             let taken = match check(&chain, &key, &names) {
                 Ok(checked) => self.take(checked),
-                Err(faults) => Err(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
+                Err(faults) => Err(on_a_line(&faults)),
             };
             match taken {
                 Ok(()) => {
--- a/crates/keeper/src/standing.rs
+++ b/crates/keeper/src/standing.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::wall_s;
 use crate::order::WISHES;
-use crate::shelf::{Kept, Wanted, certificates_of};
+use crate::shelf::{Kept, Wanted, certificates_of, node_of};
 use crate::store::Store;
 use applemill_renewal::{Policy, Record, Seconds, Standing, Step};
 use applemill_routes::{Certificate, CertificateOrigin, File};
@@ -113,16 +113,12 @@
 
 /// How the certificates of a file stand, by what lies on the disk; whether a node runs is of no matter.
 pub fn survey(file: &File) -> Vec<Shown> {
-    let wanted = Wanted {
-        terms: file.tls.clone(),
-        certificates: file.certificates.clone(),
-        authorities: file.authorities.clone(),
-    };
+    let wanted = Wanted::of(file);
     let store = file.tls.state.as_ref().map(|s| Store::new(Path::new(&s.value)));
     let show = |c: &Certificate| {
         let mut kept = Kept::default();
         let (_, wrong) = kept.look(c, store.as_ref());
-        let mut shown = shown(&wanted, c, &kept, &file.node.name);
+        let mut shown = shown(&wanted, c, &kept, &node_of(file));
         shown.words.extend(wrong);
         shown
     };
--- a/crates/node/tests/node_acme.rs
+++ b/crates/node/tests/node_acme.rs
@@ -314,3 +314,15 @@
     );
     assert!(fleet.shown(0).is_some());
 }
+
+#[test]
+fn an_authority_that_wants_a_certificate_renewed_now_has_it_renewed_and_is_told_which() {
+    let mut fleet = Fleet::new(3_600, "");
+    // Before anything is asked: what is said holds for a minute at least.
+    fleet.authority.wants_renewal(Some((-20, -10)));
+    fleet.start();
+    let first = fleet.all_show_another(None);
+    fleet.all_show_another(Some(&first));
+    let counts = fleet.authority.counts();
+    assert_eq!((counts.orders, counts.replaced, &counts.wrong[..]), (2, 1, &[][..]));
+}
--- a/crates/node/tests/node_tls.rs
+++ b/crates/node/tests/node_tls.rs
@@ -254,3 +254,20 @@
         assert!(!get(path).is_some_and(|(status, body)| status == 200 && body.whole), "{path} looks whole");
     }
 }
+
+#[test]
+fn one_that_has_expired_is_served_where_there_is_nothing_better_and_said() {
+    let (folder, by) = (Folder::new("expired"), Issuer::new("root"));
+    let a = certificate(&folder, "a", "[\"a.lv\"]", &by.pair(&["a.lv"], -2 * DAY, -DAY));
+    let site = Site::start(&a);
+    let up = || String::from_utf8_lossy(&ask(site.plain, UP).body).into_owned();
+    assert!(up().contains("certificate a: expired, ended 24 h ago"), "{}", up());
+    let refused =
+        Secure::trusting(&by.root()).connect(site.node.address, "a.lv").err().unwrap().to_string();
+    assert!(refused.contains("xpired"), "it was shown, and refused for its time alone: {refused}");
+    // A good one takes its place.
+    let good = by.pair(&["a.lv"], -10, DAY);
+    folder.put("a.pem", &good.0);
+    folder.put("a.key", &good.1);
+    wait_for("it is served", || Secure::trusting(&by.root()).connect(site.node.address, "a.lv").is_ok());
+}
--- a/crates/renewal/src/record.rs
+++ b/crates/renewal/src/record.rs
@@ -93,6 +93,11 @@
         self.orders.push(now);
     }
 
+    /// The last order was refused before it was one: it costs nothing.
+    pub fn refused(&mut self) {
+        self.orders.pop();
+    }
+
     /// A certificate is here.
     pub fn got(&mut self, held: Held) {
         self.held = Some(held);
--- a/crates/stand-ins/src/authority.rs
+++ b/crates/stand-ins/src/authority.rs
@@ -78,6 +78,8 @@
     pub accounts: u64,
     /// Orders made.
     pub orders: u64,
+    /// Of them, those that name a certificate that they take the place of.
+    pub replaced: u64,
     /// Certificates given out.
     pub certificates: u64,
     /// Requests that broke a rule of the protocol, in words.
@@ -454,6 +456,7 @@
             proofs.push(state.proofs.len() - 1);
         }
         let replaces = payload["replaces"].clone();
+        state.counts.replaced += u64::from(replaces.is_string());
         state.orders.push(Order { account: signed.number, names, proofs, replaces, chain: None });
         state.counts.orders += 1;
         let number = state.orders.len() - 1;
