Clients' certificates name tenants and keys; the log by tracing, as text or JSON

A listener may ask clients for certificates of the authorities in a file (taken anew within a second, whole or not at all); a route's tenant or key may be a name in them. Such listeners know no tickets: one of a listener that asks for nothing, or of a time when the authority was still trusted, opens no door. The front knows a Caller, not TLS.

--- a/crates/certs/tests/certs.rs
+++ b/crates/certs/tests/certs.rs
@@ -1,8 +1,8 @@
 //! Chains and keys that are good, and each way of not being so; names by brute force.
 
-use applemill_certs::{Entry, Fault, Table, check, covers};
+use applemill_certs::{CallerNames, Entry, Fault, Table, caller_names, check, covers};
 use proptest::prelude::*;
-use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair, SanType};
 use std::sync::Arc;
 
 const DAY: i64 = 86_400;
@@ -117,3 +117,28 @@
         let _ = check(part, &chain, &[]);
     }
 }
+
+#[test]
+fn a_client_is_known_by_a_name_that_is_there_once() {
+    let by = issuer("houses");
+    let named = |alternatives: &[SanType], common: &[&str]| {
+        let mut params = params(&[], NOW, NOW + DAY);
+        params.subject_alt_names = alternatives.to_vec();
+        params.distinguished_name = rcgen::DistinguishedName::new();
+        common.iter().for_each(|c| params.distinguished_name.push(rcgen::DnType::CommonName, *c));
+        caller_names(params.signed_by(&KeyPair::generate().unwrap(), &by).unwrap().der())
+    };
+    let dns = |name: &str| SanType::DnsName(name.try_into().unwrap());
+    let email = |name: &str| SanType::Rfc822Name(name.try_into().unwrap());
+    let some = |name: &str| Some(name.to_owned());
+    let all = named(&[dns("North.LV"), email("Ops@north.lv")], &["north"]);
+    assert_eq!(
+        all,
+        CallerNames { dns: some("north.lv"), email: some("Ops@north.lv"), common_name: some("north") }
+    );
+    let twice = named(&[dns("north.lv"), dns("south.lv"), email("a@b.lv")], &[" "]);
+    assert_eq!(twice, CallerNames { email: some("a@b.lv"), ..CallerNames::default() });
+    let hidden = named(&[], &["north\u{7}south"]);
+    assert_eq!(hidden, CallerNames::default());
+    assert_eq!(caller_names(b"no certificate"), CallerNames::default());
+}
--- a/crates/front-http/src/request.rs
+++ b/crates/front-http/src/request.rs
@@ -7,7 +7,8 @@
 use crate::upload::Upload;
 use applemill_flow::{Memory, Room, Slowest, Terms};
 use applemill_operator::{Operator, RunningPool, Version as FileVersion};
-use applemill_routes::{self as routes, Found, Header, normal_host, normal_path};
+use applemill_routes::{self as routes, CallerName, Found, Header, normal_host, normal_path};
+use applemill_socket::Caller;
 use applemill_upstream::names::{
     CUSTOMER, EXPIRES, IDEMPOTENCY_KEY, OBJECT, QOS, SECOND_TRY, SIZE_HINT, TRACE_ID,
 };
@@ -256,11 +257,17 @@
     }
 
     /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
-    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Turned> {
+    pub async fn read(
+        &self,
+        arrived: Instant,
+        head: Parts,
+        body: Incoming,
+        caller: Option<&Caller>,
+    ) -> Result<Reading, Turned> {
         let headed = if !self.classes.is_empty() && is_platforms(head.uri.path()) {
             self.platform(head)?
         } else if let Some(operator) = &self.operator {
-            self.routed(head, &operator.current())?
+            self.routed(head, &operator.current(), caller)?
         } else {
             return Err(Turned::Wrong(StatusCode::NOT_FOUND, "no such path\n"));
         };
@@ -333,7 +340,12 @@
     }
 
     /// Any HTTP request, by the route that takes it. What two programs could take for two things is refused.
-    fn routed(&self, head: Parts, version: &Rc<FileVersion>) -> Result<Headed, Turned> {
+    fn routed(
+        &self,
+        head: Parts,
+        version: &Rc<FileVersion>,
+        caller: Option<&Caller>,
+    ) -> Result<Headed, Turned> {
         let Ok(path) = normal_path(head.uri.path()) else {
             return Err(wrong("the path could mean two things\n"));
         };
@@ -355,7 +367,8 @@
             Found::Unclear(_) => return Err(wrong("a header that the route goes by is there twice\n")),
         };
         let Some(chosen) = version.rules.routes.get(route) else { return Err(Turned::Full) };
-        let chosen = match figure(&chosen.effective.class_from, &path, &head.headers)? {
+        let places = Places { path: &path, headers: &head.headers, caller };
+        let chosen = match places.figure(&chosen.effective.class_from)? {
             None => chosen,
             Some(name) => chosen.by_class.get(name).ok_or(wrong("the request names no class\n"))?,
         };
@@ -368,7 +381,7 @@
         };
         let Some(way) = version.way(chosen, &self.pools) else { return Err(Turned::Full) };
         let Some(pool) = self.pools.get(way.pool) else { return Err(Turned::Full) };
-        let figures = Figures::read(&chosen.effective, &path, &head.headers)?;
+        let figures = Figures::read(&chosen.effective, &places)?;
         let class = chosen.effective.class.as_ref().and_then(|c| version.rules.file.classes.get(c.value));
         let keyed = class.and_then(|c| c.effect.as_ref()).is_some_and(|e| e.value == routes::Effect::Keyed);
         if keyed && !matches!(once(&head.headers, "idempotency-key"), Header::Once(key) if !key.is_empty())
@@ -522,42 +535,52 @@
     patience: Option<Duration>,
 }
 
+/// Where a request's figures may stand.
+struct Places<'h> {
+    path: &'h str,
+    headers: &'h HeaderMap,
+    /// Who has asked, where that is sure.
+    caller: Option<&'h Caller>,
+}
+
 impl<'h> Figures<'h> {
-    fn read(
-        route: &'h routes::Effective,
-        path: &'h str,
-        headers: &'h HeaderMap,
-    ) -> Result<Figures<'h>, Turned> {
-        let patience = match figure(&route.patience_from, path, headers)? {
+    fn read(route: &'h routes::Effective, places: &Places<'h>) -> Result<Figures<'h>, Turned> {
+        let patience = match places.figure(&route.patience_from)? {
             None => None,
             Some(text) => match text.trim().parse() {
                 Ok(ms) => Some(Duration::from_millis(ms)),
                 Err(_) => return Err(wrong("the client's patience is no number of milliseconds\n")),
             },
         };
-        let (tenant, key) = (figure(&route.tenant, path, headers)?, figure(&route.key, path, headers)?);
+        let (tenant, key) = (places.figure(&route.tenant)?, places.figure(&route.key)?);
         Ok(Figures { tenant, key, patience })
     }
 }
 
-/// What stands where a route says; none where nothing does.
-fn figure<'h>(
-    source: &'h Option<routes::Held<routes::Source>>,
-    path: &'h str,
-    headers: &'h HeaderMap,
-) -> Result<Option<&'h str>, Turned> {
-    let found = match source.as_ref().map(|s| &s.value) {
-        None => None,
-        Some(routes::Source::Value(text)) => Some(text.as_str()),
-        // The first piece is what stands before the first slash: nothing.
-        Some(routes::Source::Segment(n)) => path.split('/').nth(*n),
-        Some(routes::Source::Header(name)) => match once(headers, name) {
-            Header::Absent => None,
-            Header::Once(text) => Some(text),
-            Header::Unclear => return Err(wrong("a header that the route reads is there twice\n")),
-        },
-    };
-    Ok(found.filter(|text| !text.is_empty()))
+impl<'h> Places<'h> {
+    /// What stands where a route says; none where nothing does.
+    fn figure(&self, source: &'h Option<routes::Held<routes::Source>>) -> Result<Option<&'h str>, Turned> {
+        let found = match source.as_ref().map(|s| &s.value) {
+            None => None,
+            Some(routes::Source::Value(text)) => Some(text.as_str()),
+            // The first piece is what stands before the first slash: nothing.
+            Some(routes::Source::Segment(n)) => self.path.split('/').nth(*n),
+            Some(routes::Source::Header(name)) => match once(self.headers, name) {
+                Header::Absent => None,
+                Header::Once(text) => Some(text),
+                Header::Unclear => return Err(wrong("a header that the route reads is there twice\n")),
+            },
+            Some(routes::Source::Certificate(kind)) => self.caller.and_then(|caller| {
+                let name = match kind {
+                    CallerName::Dns => &caller.dns,
+                    CallerName::Email => &caller.email,
+                    CallerName::CommonName => &caller.common_name,
+                };
+                name.as_deref()
+            }),
+        };
+        Ok(found.filter(|text| !text.is_empty()))
+    }
 }
 
 /// Why a body was not read.
@@ -581,3 +604,38 @@
     }
     Ok((kept.freeze(), held))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use applemill_routes::{Held as Value, Origin, Source, Spot};
+
+    #[test]
+    fn a_figure_stands_where_the_route_says_and_nowhere_else() {
+        let caller =
+            Caller { dns: Some("north.lv".into()), email: Some("ops@north.lv".into()), common_name: None };
+        let headers =
+            HeaderMap::from_iter([(HeaderName::from_static("x-house"), HeaderValue::from_static("h"))]);
+        let figure = |source: Source, caller: Option<&Caller>| {
+            let at = Spot { line: 1, column: 1 };
+            let held = Some(Value { value: source, from: Origin::BuiltIn, at });
+            let places = Places { path: "/lots/7", headers: &headers, caller };
+            places.figure(&held).map(|found| found.map(str::to_owned))
+        };
+        let by = |kind| Source::Certificate(kind);
+        let known = Some(&caller);
+        for (source, who, right) in [
+            (by(CallerName::Dns), known, Some("north.lv")),
+            (by(CallerName::Email), known, Some("ops@north.lv")),
+            (by(CallerName::CommonName), known, None),
+            (by(CallerName::Dns), None, None),
+            (Source::Header("x-house".into()), None, Some("h")),
+            (Source::Header("x-other".into()), known, None),
+            (Source::Segment(2), known, Some("7")),
+            (Source::Value("v".into()), known, Some("v")),
+        ] {
+            let what = format!("{source:?}");
+            assert_eq!(figure(source, who), Ok(right.map(str::to_owned)), "{what}");
+        }
+    }
+}
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -4,9 +4,8 @@
 use crate::request::{Own, Reader, Reading, Turned, farewell, own, plain};
 use crate::upload::Upload;
 use applemill_ledger::Answer;
-use applemill_log as log;
 use applemill_operator::RunningPool;
-use applemill_socket::{Descriptors, Layer, Slot, Socket, Stream};
+use applemill_socket::{Caller, Descriptors, Layer, Opened, Slot, Socket, Stream};
 use applemill_upstream::{Reply as Answered, ReplyBody, Ticket};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
@@ -25,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tracing::warn;
 
 /// A connection that has brought no whole head since it began, or since its last answer, is closed: it is
 /// silent, sends half a request, or does not read its answer.
@@ -273,7 +273,7 @@
                 Err(e) => {
                     // Out of descriptors, or a client that has gone already: neither may end the node or
                     // keep it busy.
-                    log::line(&format!("accept: {e}"));
+                    warn!("accept: {e}");
                     self.descriptors.relieve();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -314,25 +314,31 @@
         self.clients.borrow_mut().insert(number, client.clone());
         let listed = Listed { server: self.clone(), number };
         match layer {
-            None => drop(spawn_local(async move { listed.server.converse(&client, socket).await })),
+            None => drop(spawn_local(async move { listed.server.converse(&client, None, socket).await })),
             Some(layer) => drop(spawn_local(async move {
                 let opened = tokio::select! {
                     opened = layer.open(socket) => opened,
                     () = client.close.notified() => return,
                 };
                 // Who was not let in was told so by the layer.
-                let Ok(stream) = opened else { return };
+                let Ok(Opened { stream, caller }) = opened else { return };
                 client.read.set(client.socket.read());
-                listed.server.converse(&client, stream).await;
+                listed.server.converse(&client, caller, stream).await;
             })),
         }
     }
 
-    async fn converse(self: &Rc<Self>, client: &Rc<Client>, stream: impl Stream) {
+    async fn converse(
+        self: &Rc<Self>,
+        client: &Rc<Client>,
+        caller: Option<Rc<Caller>>,
+        stream: impl Stream,
+    ) {
+        let caller = caller.as_deref();
         let service = service_fn(|request| {
             let busy = Busy::new(client.clone());
             async move {
-                let mut response = self.respond(request).await;
+                let mut response = self.respond(request, caller).await;
                 // A stream's client is busy until its last byte has left.
                 response.body_mut().hold(busy);
                 Ok::<_, Infallible>(response)
@@ -385,7 +391,7 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Own<Busy> {
+    async fn respond(&self, request: Request<Incoming>, caller: Option<&Caller>) -> Own<Busy> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
@@ -395,7 +401,7 @@
         {
             own(StatusCode::OK, text)
         } else if path != "/up" {
-            match self.reader.read(arrived, head, body).await {
+            match self.reader.read(arrived, head, body, caller).await {
                 Ok(reading) => self.ask(reading).await,
                 Err(turned_away) => turned_away.into(),
             }
--- a/crates/keeper/src/files.rs
+++ b/crates/keeper/src/files.rs
@@ -3,7 +3,7 @@
 use crate::shelf::on_a_line;
 use applemill_certs::{Checked, check};
 use applemill_routes::{Certificate, CertificateOrigin};
-use applemill_tls::Tickets;
+use applemill_tls::{Callers, Tickets};
 use std::fs::File;
 use std::io::Read;
 use std::os::unix::fs::MetadataExt;
@@ -62,6 +62,42 @@
     Some(checked.map_err(|faults| format!("{} and {}: {}", chain.value, key.value, on_a_line(&faults))))
 }
 
+/// A file that is read again when it has changed.
+pub(crate) struct Watched {
+    path: String,
+    seen: Option<Look>,
+}
+
+impl Watched {
+    /// One that was read just now.
+    pub(crate) fn new(path: &str) -> Watched {
+        Watched { path: path.to_owned(), seen: look(path) }
+    }
+
+    /// Has it read where it looks different from last time; why it was not taken.
+    pub(crate) fn changed(&mut self, read: impl FnOnce(&str) -> Result<(), String>) -> Option<String> {
+        let new = look(&self.path);
+        let before = std::mem::replace(&mut self.seen, new);
+        if before == new { None } else { read(&self.path).err() }
+    }
+}
+
+/// Reads a file with the authorities of clients' certificates.
+///
+/// # Errors
+/// What is wrong with it.
+pub(crate) fn read_callers(path: &str, required: bool) -> Result<Callers, String> {
+    Callers::read(&read(path)?, required).map_err(|e| format!("{path}: {e}"))
+}
+
+/// The same, in place of those there are.
+///
+/// # Errors
+/// What is wrong with it.
+pub(crate) fn replace_callers(path: &str, callers: &Callers) -> Result<(), String> {
+    callers.replace(&read(path)?).map_err(|e| format!("{path}: {e}"))
+}
+
 /// Reads a file of keys for tickets.
 ///
 /// # Errors
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -2,7 +2,7 @@
 //! hangs or panics ends alone.
 
 use crate::clock::{thread_cpu_ms, wall_s};
-use crate::files::{Look, look, read_tickets};
+use crate::files::{Watched, read_callers, read_tickets, replace_callers};
 use crate::order::{HOLD_MS, PROOFS, step, wished};
 use crate::proofs::{Proof, Proofs};
 use crate::shelf::{Kept, Wanted, node_of, table};
@@ -10,17 +10,18 @@
 use crate::store::Store;
 use applemill_background::{Budget, Line, Priority, Schedule, Spec, TaskId};
 use applemill_lease::Lease;
-use applemill_log as log;
 use applemill_renewal::{Record, Step};
 use applemill_routes::{CertificateOrigin, File};
-use applemill_tls::{Served, Tickets};
+use applemill_tls::{Callers, Served, Tickets};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
+use tracing::{info, warn};
 
 /// CPU time beside requests: a twentieth of a core, and a signature or a key saved up.
 const BUDGET: Budget = Budget { ms_per_s: 50.0, burst_ms: 100.0 };
@@ -62,7 +63,10 @@
     pub(crate) proofs: Arc<Proofs>,
     pub(crate) store: Option<Store>,
     tickets: Option<Arc<Tickets>>,
-    ticket_look: Mutex<Option<Look>>,
+    ticket_file: Mutex<Option<Watched>>,
+    /// Whose certificates clients may show, by listener.
+    callers: Vec<(SocketAddr, Arc<Callers>)>,
+    caller_files: Mutex<Vec<Watched>>,
     wanted: Mutex<Arc<Wanted>>,
     kept: Mutex<BTreeMap<String, Kept>>,
     leases: Mutex<HashMap<String, Lease>>,
@@ -99,13 +103,16 @@
         let mut kept = locked(&self.kept).get(name).cloned().unwrap_or_default();
         let (new, wrong) = kept.look(certificate, self.store.as_ref());
         if let Some(why) = wrong {
-            log::line(&format!("certificate {name} kept as it was: {why}"));
+            warn!(certificate = name, why, "certificate kept as it was");
         }
         let shown = shown(&wanted, certificate, &kept, &self.node);
         let word = shown.standing.word();
         if word != kept.word {
-            if shown.standing.warns() || !kept.word.is_empty() {
-                log::line(&shown.to_string());
+            let ends = shown.not_after;
+            if shown.standing.warns() {
+                warn!(certificate = name, standing = word, ends, "{shown}");
+            } else if !kept.word.is_empty() {
+                info!(certificate = name, standing = word, ends, "{shown}");
             }
             kept.word = word;
         }
@@ -126,6 +133,7 @@
         }
         self.look_at_proofs();
         self.look_at_tickets();
+        self.look_at_callers();
     }
 
     pub(crate) fn look_at_proofs(&self) {
@@ -137,13 +145,17 @@
     }
 
     fn look_at_tickets(&self) {
-        let wanted = self.wanted();
-        let (Some(file), Some(tickets)) = (&wanted.terms.ticket_keys, &self.tickets) else { return };
-        let new = look(&file.value);
-        if std::mem::replace(&mut *locked(&self.ticket_look), new) != new
-            && let Err(why) = read_tickets(&file.value, tickets)
-        {
-            log::line(&format!("ticket keys kept as they were: {why}"));
+        let (mut file, Some(tickets)) = (locked(&self.ticket_file), &self.tickets) else { return };
+        if let Some(why) = file.as_mut().and_then(|f| f.changed(|path| read_tickets(path, tickets))) {
+            warn!(why, "ticket keys kept as they were");
+        }
+    }
+
+    fn look_at_callers(&self) {
+        for (file, (listener, callers)) in locked(&self.caller_files).iter_mut().zip(&self.callers) {
+            if let Some(why) = file.changed(|path| replace_callers(path, callers)) {
+                warn!(%listener, why, "authorities of clients kept as they were");
+            }
         }
     }
 
@@ -230,11 +242,22 @@
             wrong.extend(why.filter(|_| own_files));
             kept.insert(certificate.name.value.clone(), own);
         }
+        let ticket_file = wanted.terms.ticket_keys.as_ref().map(|file| Watched::new(&file.value));
         let tickets = wanted.terms.ticket_keys.as_ref().map(|file| {
             let tickets = Tickets::default();
             wrong.extend(read_tickets(&file.value, &tickets).err());
             Arc::new(tickets)
         });
+        let (mut callers, mut caller_files) = (Vec::new(), Vec::new());
+        for listener in &file.listeners {
+            let Some((path, required)) = listener.callers() else { continue };
+            // Looked at first: what changes while it is read is read again.
+            caller_files.push(Watched::new(path));
+            match read_callers(path, required) {
+                Ok(read) => callers.push((listener.address.value, Arc::new(read))),
+                Err(why) => wrong.push(why),
+            }
+        }
         if !wrong.is_empty() {
             return Err(wrong);
         }
@@ -245,7 +268,9 @@
             served,
             store,
             tickets,
-            ticket_look: Mutex::default(),
+            ticket_file: Mutex::new(ticket_file),
+            callers,
+            caller_files: Mutex::new(caller_files),
             wanted: Mutex::new(Arc::new(wanted)),
             kept: Mutex::new(kept),
             leases: Mutex::default(),
@@ -280,6 +305,11 @@
         self.inner.tickets.clone()
     }
 
+    /// Whose certificates the clients of a listener may show; none where it asks for none.
+    pub fn callers(&self, listener: SocketAddr) -> Option<Arc<Callers>> {
+        self.inner.callers.iter().find(|(at, _)| *at == listener).map(|(_, callers)| callers.clone())
+    }
+
     /// Proofs that authorities may look for.
     pub fn proofs(&self) -> Arc<Proofs> {
         self.inner.proofs.clone()
@@ -467,7 +497,7 @@
         let again = self.schedule.failed(self.now(), id, cpu_ms, fastrand::f64());
         let name =
             self.schedule.list(0.0).into_iter().find(|l| l.id == id).map(|l| l.name).unwrap_or_default();
-        log::line(&format!("in the background: {name}: {why}"));
+        warn!(task = name, why, "background work failed");
         if let Some(again) = again {
             self.held_back.insert(id, again);
         }
--- a/crates/keeper/src/order.rs
+++ b/crates/keeper/src/order.rs
@@ -9,13 +9,13 @@
 use crate::store::Store;
 use applemill_certs::check;
 use applemill_lease::{Claim, Lease, Next};
-use applemill_log as log;
 use applemill_renewal::{Held, Record, Step, Trouble};
 use applemill_routes::{Authority, Certificate};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::io;
 use std::time::Duration;
+use tracing::{info, warn};
 
 /// A holder that is not heard of for so long is dead: what its death delays the others by, in milliseconds.
 pub(crate) const HOLD_MS: f64 = 5_000.0;
@@ -213,9 +213,7 @@
     let result = run(holding, certificate, authority, &record, &chain);
     let (mut record, now) = (record.into_inner(), wall_s());
     if !holding.may_act() {
-        log::line(&format!(
-            "certificate {name}: the lease ran out while it was ordered; what came is left to the others"
-        ));
+        warn!(certificate = name, "the lease ran out during the order; what came is left to the others");
         return Ok(0.0);
     }
     match result {
@@ -226,16 +224,12 @@
             holding.store.remove(WISHES, name);
             holding.store.tidy(&certificates_of(name));
             holding.store.tidy(&records_of(name));
-            log::line(&format!("certificate {name}: a new one from {}", authority.name.value));
+            info!(certificate = name, authority = authority.name.value, "a new one");
             Ok(0.0)
         }
         Err(failed) => {
-            let who = &authority.name.value;
-            log::line(&format!(
-                "certificate {name}: {who}: {:?}: {}",
-                failed.trouble,
-                failed.words.replace('\n', " ")
-            ));
+            let (who, words) = (&authority.name.value, failed.words.replace('\n', " "));
+            warn!(certificate = name, authority = who, trouble = ?failed.trouble, words, "no new one");
             let left = record.left(&policy, now);
             let what = (door, failed.trouble, failed.made);
             record.failed(now, what, left, &failed.words, fastrand::f64());
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -3,16 +3,19 @@
 use crate::print::print;
 use crate::setup::Setup;
 use crate::{certs, config, demo, serve};
-use applemill_log as log;
+use applemill_log::{Format, Level};
 use applemill_operator::{self as operator, FileError};
 use applemill_routes::{Platform, Request, Severity, explain, load_bytes, schema};
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
+use std::fmt::Display;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::str::FromStr;
 use std::time::Duration;
 use tokio::task::LocalSet;
+use tracing::error;
 
 /// What a file that is refused, or cannot be read, ends the program with.
 const REFUSED: u8 = 2;
@@ -35,6 +38,8 @@
         /// The operator's file; LB_OPERATOR if absent.
         #[arg(long, value_name = "FILE")]
         config: Option<PathBuf>,
+        #[command(flatten)]
+        log: LogArgs,
     },
     /// Checks an operator's file and tells all that is wrong with it. Exit code 0: it may be used; 2: it may not.
     Check {
@@ -105,6 +110,28 @@
     },
 }
 
+/// What the log on standard error is like.
+#[derive(Debug, Default, Args)]
+struct LogArgs {
+    /// Lines for people (text), or an object a line (json); LB_LOG_FORMAT, or text, if absent.
+    #[arg(long, value_name = "text|json")]
+    log_format: Option<Format>,
+    /// The least that is written: error, warn, info or debug; LB_LOG_LEVEL, or info, if absent.
+    #[arg(long, value_name = "LEVEL")]
+    log_level: Option<Level>,
+}
+
+/// What the command line says, else the environment, else what is usual.
+fn said<T: FromStr<Err: Display> + Default>(argument: Option<T>, variable: &str) -> Result<T, String> {
+    let set = || std::env::var(variable).ok().filter(|word| !word.is_empty());
+    match (argument, set) {
+        (Some(said), _) => Ok(said),
+        (None, set) => {
+            set().map_or_else(|| Ok(T::default()), |w| w.parse().map_err(|e| format!("{variable}: {e}")))
+        }
+    }
+}
+
 #[derive(Debug, Args)]
 struct OperatorFile {
     /// The operator's file.
@@ -130,11 +157,11 @@
 pub fn main() -> ExitCode {
     // The platform's way costs no parsing.
     if std::env::args_os().len() <= 1 {
-        return run(None);
+        return run(None, LogArgs::default());
     }
     match Cli::parse().command {
-        None => run(None),
-        Some(Command::Run { config }) => run(config.as_deref()),
+        None => run(None, LogArgs::default()),
+        Some(Command::Run { config, log }) => run(config.as_deref(), log),
         Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Explain { file, request, headers }) => tell(&file, &request, &headers),
         Some(Command::Demo { seconds, json }) => demonstrate(seconds.map(Duration::from_secs), json),
@@ -151,12 +178,20 @@
     ExitCode::from(REFUSED)
 }
 
-fn run(file: Option<&Path>) -> ExitCode {
+fn run(file: Option<&Path>, LogArgs { log_format, log_level }: LogArgs) -> ExitCode {
+    let (format, level) = match (said(log_format, "LB_LOG_FORMAT"), said(log_level, "LB_LOG_LEVEL")) {
+        (Ok(format), Ok(level)) => (format, level),
+        (format, level) => {
+            let wrong: Vec<String> = format.err().into_iter().chain(level.err()).collect();
+            return refuse(&wrong.join("\napplemill: "));
+        }
+    };
     let named = std::env::var_os("LB_OPERATOR").filter(|f| !f.is_empty()).map(PathBuf::from);
     let setup = match Setup::load(file.or(named.as_deref())) {
         Ok(setup) => setup,
         Err(e) => return refuse(&e.to_string()),
     };
+    let _log = applemill_log::start(format, level);
     block_on(async { serve::run(setup).await.map(|()| true) })
 }
 
@@ -174,7 +209,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
-            log::line(&e.to_string());
+            error!("{e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,11 +7,10 @@
 use applemill_front_http::{OwnPages, Reader, Server};
 use applemill_keeper::Keeper;
 use applemill_ledger::Limits;
-use applemill_log as log;
 use applemill_operator::{Operator, PoolSetup, RunningPool, Source};
 use applemill_routes::STREAM_FLOOR;
 use applemill_socket::{Descriptors, Layer};
-use applemill_tls::{Handshakes, Tls};
+use applemill_tls::{Handshakes, Tls, TlsError};
 use applemill_upstream::{BODY_LIMIT, Clock, Driver, Input, Peers, Pipes, Shared, Watch, listing};
 use birchspoke::Balancer;
 use birchspoke::interface::{ListKind, Settings};
@@ -25,6 +24,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
+use tracing::{info, warn};
 
 /// Connections that may wait while this node is busy or out of descriptors.
 const BACKLOG: u32 = 1024;
@@ -71,21 +71,21 @@
         if let Some(discovery) = &platform {
             match Config::reload() {
                 Ok(config) => {
-                    log::line(&format!("configuration read again: discovery is at {}", config.discovery));
+                    info!(discovery = %config.discovery, "configuration read again");
                     discovery.send_replace(config.discovery);
                 }
-                Err(e) => log::line(&format!("configuration kept as it was: {e}")),
+                Err(e) => warn!("configuration kept as it was: {e}"),
             }
         }
         if let Some(operator) = &operator {
             match operator.reload(&pools).await {
                 Ok(taken) => {
-                    log::line(&first_of(&format!("operator's file read again: {taken}")));
+                    info!("{}", first_of(&format!("operator's file read again: {taken}")));
                     if let Some(keeper) = &keeper {
                         keeper.reload(&operator.current().rules.file);
                     }
                 }
-                Err(e) => log::line(&first_of(&format!("operator's file kept as it was: {e}"))),
+                Err(e) => warn!("{}", first_of(&format!("operator's file kept as it was: {e}"))),
             }
         }
     }
@@ -166,7 +166,7 @@
 
 /// What a node with certificates tells by itself: proofs of names, and beside `/up` how certificates and the work on them
 /// stand.
-fn pages(keeper: Rc<Keeper>, tls: Rc<Tls>) -> OwnPages {
+fn pages(keeper: Rc<Keeper>, tls: Tls) -> OwnPages {
     let proofs = keeper.proofs();
     Box::new(move |path| match path {
         "/up" => {
@@ -180,6 +180,14 @@
     })
 }
 
+/// TLS on one listener: as on all, or with certificates of its clients.
+fn layer(keeper: &Keeper, tls: &Tls, listener: SocketAddr) -> Result<Rc<dyn Layer>, TlsError> {
+    Ok(match keeper.callers(listener) {
+        Some(callers) => Rc::new(tls.asking(keeper.served(), callers)?),
+        None => Rc::new(tls.clone()),
+    })
+}
+
 /// Runs a node until it is told to stop.
 ///
 /// # Errors
@@ -191,7 +199,7 @@
     let mut listeners = Vec::new();
     for at in &setup.listeners {
         let address = at.address;
-        listeners.push((listen(address).map_err(|e| format!("listen: {address}: {e}"))?, at.tls));
+        listeners.push(listen(address).map_err(|e| format!("listen: {address}: {e}"))?);
     }
     let descriptors = Descriptors::new(setup.sockets);
     let buffer = (setup.memory / BUFFERS_PART / setup.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
@@ -234,12 +242,19 @@
     let _others: Vec<_> = moves.collect();
     let (keeper, tls) = match setup.tls {
         Some(TlsSetup { keeper, terms, pressed }) => {
-            let tls = Rc::new(Tls::new(keeper.served(), keeper.tickets(), terms)?);
+            let tls = Tls::new(keeper.served(), keeper.tickets(), terms)?;
             spawn_local(watch_loop(pressed));
             (Some(Rc::new(keeper)), Some(tls))
         }
         None => (None, None),
     };
+    let mut layers = Vec::new();
+    for at in &setup.listeners {
+        layers.push(match (&keeper, &tls) {
+            (Some(keeper), Some(tls)) if at.tls => Some(layer(keeper, tls, at.address)?),
+            _ => None,
+        });
+    }
     spawn_local(reload(hangup, platform, operator.clone(), pools.clone(), keeper.clone()));
     if let (Some(peers), Some(first)) = (peers, pools.first()) {
         let driver = first.driver.clone();
@@ -277,24 +292,22 @@
         setup.open_cap,
         buffer,
         descriptors,
-        keeper.zip(tls.clone()).map(|(keeper, tls)| pages(keeper, tls)),
+        keeper.zip(tls).map(|(keeper, tls)| pages(keeper, tls)),
     );
     if !setup.warnings.is_empty() {
-        log::line(&first_of(&format!("the operator's file has warnings\n{}", setup.warnings)));
+        warn!("{}", first_of(&format!("the operator's file has warnings\n{}", setup.warnings)));
     }
     for at in &setup.listeners {
-        let by = if at.tls { ", by TLS" } else { "" };
-        log::line(&format!("{} serves on {}{by}", setup.name, at.address));
+        info!(node = setup.name, address = %at.address, tls = at.tls, "serves");
     }
-    let accepting: Vec<_> = (listeners.into_iter())
-        .map(|(listener, secure)| {
-            let layer = tls.clone().filter(|_| secure).map(|tls| tls as Rc<dyn Layer>);
+    let accepting: Vec<_> = (listeners.into_iter().zip(layers))
+        .map(|(listener, layer)| {
             let server = server.clone();
             spawn_local(async move { server.accept(listener, layer).await })
         })
         .collect();
     terminate.recv().await;
-    log::line("told to stop: answers what comes and what is there, then ends");
+    info!("told to stop: answers what comes and what is there, then ends");
     let end = Instant::now() + longest.max(setup.streams.stop) + LAST_ANSWERS;
     server.stop();
     // Whatever became of the accept loops, what was taken is answered.
--- a/crates/operator/src/running.rs
+++ b/crates/operator/src/running.rs
@@ -133,7 +133,17 @@
     fn take(&self, rules: Rules, pools: &[RunningPool]) -> Result<(), String> {
         let old = self.current();
         let fixed = |f: &File| {
-            let addresses: Vec<_> = f.listeners.iter().map(|l| (l.address.value, l.is_tls())).collect();
+            let addresses: Vec<_> = f
+                .listeners
+                .iter()
+                .map(|l| {
+                    (
+                        l.address.value,
+                        l.is_tls(),
+                        l.callers().map(|(ca, required)| (ca.to_owned(), required)),
+                    )
+                })
+                .collect();
             let tenants: Vec<_> =
                 f.tenants.iter().map(|t| (t.name.value.clone(), t.rate.to_bits())).collect();
             (addresses, f.node.clone(), f.fleet.clone(), tenants, f.tls.held())
--- a/crates/routes/src/check/safety.rs
+++ b/crates/routes/src/check/safety.rs
@@ -2,8 +2,8 @@
 //! memory, and every course of a request ends before its client gives up.
 
 use super::Check;
-use crate::effective::{BODY_LIMIT, Effective, MARGIN_MS, time};
-use crate::model::{DroppedBy, Effect, Mode, Retry, Route, Server, Source};
+use crate::effective::{BODY_LIMIT, Effective, Held, MARGIN_MS, time};
+use crate::model::{DroppedBy, Effect, Listener, Mode, Retry, Route, Server, Source};
 use crate::report::Finding;
 
 /// Methods that promise to change nothing (RFC 9110, 9.2.1).
@@ -261,6 +261,9 @@
                 let found = format!("{text:?} ({})", source.origin());
                 self.error("kind", source.at, field.clone(), found, "whole milliseconds, such as \"900\"");
             }
+            if matches!(source.value, Source::Certificate(_)) {
+                self.by_certificate(name, source, &field);
+            }
             if let Source::Value(text) = &source.value
                 && name == "tenant"
                 && self.platform.is_none()
@@ -277,4 +280,24 @@
             }
         }
     }
+
+    /// A figure that is read from the certificate that a client has shown.
+    fn by_certificate(&mut self, name: &str, source: &Held<Source>, field: &str) {
+        let found = |what: &str| format!("{what} ({})", source.origin());
+        if !matches!(name, "tenant" | "key") {
+            let right = "a header, or a segment; a certificate says who asks, and not what";
+            self.error("kind", source.at, field, found("a client's certificate"), right);
+        }
+        let asking = |l: &Listener| l.callers().is_some();
+        let listeners = &self.file.listeners;
+        if !listeners.iter().any(asking) {
+            let right = "client_ca = \"FILE\" in a [[listener]] with tls = true";
+            self.error("certificate", source.at, field, found("no listener asks clients for one"), right);
+        } else if let Some(open) =
+            listeners.iter().find(|l| l.callers().is_none_or(|(_, required)| !required))
+        {
+            let what = format!("a client of listener {:?} may have shown none", open.name.value);
+            self.warn("certificate", source.at, field, found(&what), "sure? It has no such name then");
+        }
+    }
 }
--- a/crates/routes/src/check/tls.rs
+++ b/crates/routes/src/check/tls.rs
@@ -1,7 +1,7 @@
 //! Whether what a file says of TLS can be served: names, certificates, authorities, and how a name is proven.
 
 use super::Check;
-use crate::model::{At, Certificate, Origin, Proof};
+use crate::model::{At, Certificate, Listener, Origin, Proof};
 use crate::report::Spot;
 use std::collections::HashSet;
 
@@ -54,6 +54,30 @@
         }
         self.authorities();
         self.proofs();
+        for l in &file.listeners {
+            self.callers(l);
+        }
+    }
+
+    /// Clients' certificates are asked for where there is TLS to show them by, and authorities to check them by.
+    fn callers(&mut self, l: &Listener) {
+        let field = |name: &str| format!("listener {:?}: {name}", l.name.value);
+        match (&l.client_ca, &l.client_required) {
+            (Some(ca), _) if !l.is_tls() => {
+                self.error(
+                    "tls",
+                    ca.at,
+                    field("client_ca"),
+                    "a listener without TLS",
+                    "tls = true, or neither",
+                );
+            }
+            (None, Some(required)) => {
+                let right = "client_ca = \"FILE\" beside it";
+                self.error("missing", required.at, field("client_certificate"), "no client_ca", right);
+            }
+            _ => {}
+        }
     }
 
     fn certificate(&mut self, c: &Certificate) {
--- a/crates/routes/src/explain.rs
+++ b/crates/routes/src/explain.rs
@@ -120,6 +120,7 @@
         Source::Header(name) => format!("header {name}"),
         Source::Segment(n) => format!("path segment {n}"),
         Source::Value(text) => format!("always {text:?}"),
+        Source::Certificate(kind) => format!("client certificate, {}", kind.word()),
     }
 }
 
--- a/crates/routes/src/fields.rs
+++ b/crates/routes/src/fields.rs
@@ -199,11 +199,23 @@
     f("fall_time", Kind::Duration, "... for this long, it falls over."),
 ];
 
+pub(crate) const CLIENTS: &[&str] = &["required", "asked"];
+
 pub(crate) const LISTENER: &[Field] = &[
     f("name", Kind::Text, "Its name in logs."),
     f("address", Kind::Text, "Address and port."),
     f("kind", Kind::Choice(&["http"]), "What is spoken there."),
     f("tls", Kind::Flag, "Whether it is spoken by TLS, with the certificates of this file."),
+    f(
+        "client_ca",
+        Kind::Text,
+        "A file in PEM with the authorities of clients' certificates, asked for there.",
+    ),
+    f(
+        "client_certificate",
+        Kind::Choice(CLIENTS),
+        "Whether a client without one is turned away; it is if absent.",
+    ),
 ];
 
 pub(crate) const PROOFS: &[&str] = &["http-01", "tls-alpn-01"];
@@ -332,7 +344,8 @@
         Kind::Pairs => json!({"type": "object", "additionalProperties": {"type": "string"}}),
         Kind::Source => json!({"type": "object", "minProperties": 1, "maxProperties": 1,
             "additionalProperties": false, "properties": {"header": {"type": "string"},
-            "segment": {"type": "integer", "minimum": 1}, "value": {"type": "string"}}}),
+            "segment": {"type": "integer", "minimum": 1}, "value": {"type": "string"},
+            "certificate": {"enum": ["dns", "email", "common-name"]}}}),
         Kind::Table(fields) => object(fields),
         Kind::Tables(fields) => json!({"type": "array", "items": object(fields)}),
         Kind::Named(fields) => json!({"type": "object", "additionalProperties": object(fields)}),
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -17,9 +17,9 @@
 pub use fields::schema;
 pub use matcher::{Asked, Found, Header, Miss, Strictness, Table, strictness, takes};
 pub use model::{
-    At, Authority, Certificate, Class, DroppedBy, Effect, File, Fleet, Group, Listener, Mode, Names, Node,
-    Origin as CertificateOrigin, Pool, Proof, Retry, Route, Server, Source, StreamValues, Tenant, Tls,
-    Values,
+    At, Authority, CallerName, Certificate, Class, DroppedBy, Effect, File, Fleet, Group, Listener, Mode,
+    Names, Node, Origin as CertificateOrigin, Pool, Proof, Retry, Route, Server, Source, StreamValues,
+    Tenant, Tls, Values,
 };
 pub use path::{Unclear, normal_host, normal_path};
 pub use read::LONGEST_FILE;
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -88,6 +88,30 @@
     Segment(usize),
     /// The same for all.
     Value(String),
+    /// A name in the certificate that the client has shown.
+    Certificate(CallerName),
+}
+
+/// A kind of name in a client's certificate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CallerName {
+    /// Its DNS name.
+    Dns,
+    /// Its address of mail.
+    Email,
+    /// Its common name.
+    CommonName,
+}
+
+impl CallerName {
+    /// The word in the file.
+    pub fn word(self) -> &'static str {
+        match self {
+            CallerName::Dns => "dns",
+            CallerName::Email => "email",
+            CallerName::CommonName => "common-name",
+        }
+    }
 }
 
 /// The values that are inherited: from the defaults to class, group and route.
@@ -239,6 +263,10 @@
     pub address: At<SocketAddr>,
     /// TLS is spoken there.
     pub tls: Option<At<bool>>,
+    /// A file with the authorities of clients' certificates; none are asked for if absent.
+    pub client_ca: Option<At<String>>,
+    /// Whether a client without one is turned away.
+    pub client_required: Option<At<bool>>,
 }
 
 impl Listener {
@@ -246,6 +274,12 @@
     pub fn is_tls(&self) -> bool {
         self.tls.as_ref().is_some_and(|t| t.value)
     }
+
+    /// Clients are asked for certificates of these authorities; whether those without one are turned away.
+    pub fn callers(&self) -> Option<(&str, bool)> {
+        let required = self.client_required.as_ref().is_none_or(|r| r.value);
+        self.client_ca.as_ref().map(|file| (file.value.as_str(), required))
+    }
 }
 
 /// A tenant.
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -98,9 +98,12 @@
             let address = s.address("address", true);
             s.choice("kind", &["http"]);
             let tls = s.flag_at("tls");
+            let client_ca = s.text("client_ca");
+            let client_required = s.choice("client_certificate", fields::CLIENTS);
+            let client_required = client_required.map(|(n, at)| At { value: n == 0, at });
             let address = address?;
             let name = name.unwrap_or_else(|| At { value: address.value.to_string(), at });
-            Some(Listener { name, address, tls })
+            Some(Listener { name, address, tls, client_ca, client_required })
         });
         let tls = top.table("tls", fields::TLS, |s| s.tls());
         let certificates = top.named("certificate", fields::CERTIFICATE, |s, name| s.certificate(name));
--- a/crates/routes/src/read/section.rs
+++ b/crates/routes/src/read/section.rs
@@ -2,7 +2,7 @@
 
 use super::{LARGEST_SIZE, LONGEST_MS, MOST, Reader, Value};
 use crate::fields::Field;
-use crate::model::{At, Source};
+use crate::model::{At, CallerName, Source};
 use crate::report::Spot;
 use std::net::SocketAddr;
 use toml::Spanned;
@@ -284,7 +284,8 @@
     }
 
     pub(super) fn source(&mut self, name: &str) -> Option<At<Source>> {
-        const RIGHT: &str = "one of { header = \"X-Name\" }, { segment = 2 } and { value = \"name\" }";
+        const RIGHT: &str = "one of { header = \"X-Name\" }, { segment = 2 }, { value = \"name\" } and \
+            { certificate = \"dns\" } (or \"email\", \"common-name\")";
         let value = self.get(name)?;
         let at = self.reader.spot(value);
         let mut source = None;
@@ -303,6 +304,10 @@
                 ("value", DeValue::String(text)) if !text.is_empty() => {
                     Some(Source::Value(text.to_string()))
                 }
+                ("certificate", DeValue::String(text)) => {
+                    let kinds = [CallerName::Dns, CallerName::Email, CallerName::CommonName];
+                    kinds.into_iter().find(|k| k.word() == text.as_ref()).map(Source::Certificate)
+                }
                 _ => None,
             };
         }
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -181,8 +181,27 @@
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Stream for S {}
 
+/// Who a client is, as the layer before a front has made sure of.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Caller {
+    /// The DNS name that it may call itself.
+    pub dns: Option<String>,
+    /// Its address of mail.
+    pub email: Option<String>,
+    /// Its common name.
+    pub common_name: Option<String>,
+}
+
+/// A connection that was opened.
+pub struct Opened {
+    /// What is read and written.
+    pub stream: Box<dyn Stream>,
+    /// Who is at the other end; none where nobody made sure.
+    pub caller: Option<Rc<Caller>>,
+}
+
 /// A connection that is being opened.
-pub type Opening = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>>>>;
+pub type Opening = Pin<Box<dyn Future<Output = io::Result<Opened>>>>;
 
 /// What stands between a listener's sockets and a front, such as TLS. A front does not know which.
 pub trait Layer {
--- a/crates/stand-ins/src/secure.rs
+++ b/crates/stand-ins/src/secure.rs
@@ -7,7 +7,7 @@
     SerialNumber,
 };
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -117,6 +117,21 @@
         Secure(Arc::new(config))
     }
 
+    /// The same, with a certificate of its own: its chain and key, in PEM.
+    pub fn showing(root: &str, (chain, key): &(String, String)) -> Secure {
+        let mut roots = RootCertStore::empty();
+        roots.add_parsable_certificates(CertificateDer::pem_slice_iter(root.as_bytes()).flatten());
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let chain = CertificateDer::pem_slice_iter(chain.as_bytes()).flatten().collect();
+        let config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .unwrap()
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap())
+            .unwrap();
+        Secure(Arc::new(config))
+    }
+
     /// Connects and shakes hands.
     ///
     /// # Errors
--- a/crates/tls/src/accept.rs
+++ b/crates/tls/src/accept.rs
@@ -1,11 +1,13 @@
 //! Handshakes, bounded: in time each, in number at once, and in what they do in one round of the loop, so that a flood of
 //! them harms nobody who is connected.
 
+use crate::callers::{Callers, caller};
 use crate::served::{ACME_TLS, Served};
 use crate::tickets::Tickets;
-use applemill_socket::{Layer, Opening, Socket, Stream, Turn, Turns};
+use applemill_socket::{Layer, Opened, Opening, Socket, Turn, Turns};
 use rustls::ServerConfig;
 use rustls::crypto::ring::{Ticketer, default_provider};
+use rustls::server::NoServerSessionStorage;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, IoSlice};
@@ -110,7 +112,22 @@
     }
 }
 
-/// TLS on listeners.
+fn config(served: Arc<Served>, callers: Option<Arc<Callers>>) -> Result<ServerConfig, TlsError> {
+    let builder = ServerConfig::builder_with_provider(Arc::new(default_provider()))
+        .with_safe_default_protocol_versions()?;
+    let builder = match callers {
+        Some(callers) => builder.with_client_cert_verifier(callers),
+        None => builder.with_no_client_auth(),
+    };
+    let mut config = builder.with_cert_resolver(served);
+    config.alpn_protocols = vec![HTTP.to_vec(), ACME_TLS.to_vec()];
+    // Tickets do it; a memory of sessions beside them would grow with the clients.
+    config.session_storage = Arc::new(NoServerSessionStorage {});
+    Ok(config)
+}
+
+/// TLS on a listener; clones share their bounds and counts.
+#[derive(Clone)]
 pub struct Tls {
     acceptor: TlsAcceptor,
     terms: Terms,
@@ -125,22 +142,28 @@
     /// # Errors
     /// It cannot be set up.
     pub fn new(served: Arc<Served>, tickets: Option<Arc<Tickets>>, terms: Terms) -> Result<Tls, TlsError> {
-        let mut config = ServerConfig::builder_with_provider(Arc::new(default_provider()))
-            .with_safe_default_protocol_versions()?
-            .with_no_client_auth()
-            .with_cert_resolver(served);
-        config.alpn_protocols = vec![HTTP.to_vec(), ACME_TLS.to_vec()];
+        let mut config = config(served, None)?;
         config.ticketer = match tickets {
             Some(tickets) => tickets,
             None => Ticketer::new()?,
         };
-        // Tickets do it; a memory of sessions beside them would grow with the clients.
-        config.session_storage = Arc::new(rustls::server::NoServerSessionStorage {});
         config.send_tls13_tickets = 1;
         let acceptor = TlsAcceptor::from(Arc::new(config));
         Ok(Tls { acceptor, terms, turns: Turns::new(IN_A_ROUND), under_way: Rc::default() })
     }
 
+    /// The same for a listener that asks clients for certificates, within the same bounds. It gives and takes no tickets: one
+    /// brings back a session as it was, also one of a listener that asked for nothing, or that began before a certificate
+    /// ended or its authority was taken from the file.
+    ///
+    /// # Errors
+    /// It cannot be set up.
+    pub fn asking(&self, served: Arc<Served>, callers: Arc<Callers>) -> Result<Tls, TlsError> {
+        let mut config = config(served, Some(callers))?;
+        config.send_tls13_tickets = 0;
+        Ok(Tls { acceptor: TlsAcceptor::from(Arc::new(config)), ..self.clone() })
+    }
+
     /// Handshakes since the start.
     pub fn handshakes(&self) -> Handshakes {
         self.under_way.counts.get()
@@ -177,7 +200,8 @@
                 Some(rustls::HandshakeKind::Resumed) => under_way.count(|c| c.resumed += 1),
                 _ => under_way.count(|c| c.full += 1),
             }
-            Ok(Box::new(stream) as Box<dyn Stream>)
+            let caller = caller(session.peer_certificates());
+            Ok(Opened { stream: Box::new(stream), caller })
         })
     }
 }
--- a/crates/tls/src/lib.rs
+++ b/crates/tls/src/lib.rs
@@ -3,9 +3,11 @@
 //! whether they are good, `applemill-certs`'.
 
 mod accept;
+mod callers;
 mod served;
 mod tickets;
 
 pub use accept::{Handshakes, Terms, Tls, TlsError};
+pub use callers::{Callers, CallersError};
 pub use served::{ACME_TLS, Served};
 pub use tickets::{KeyFileError, Tickets};
--- a/crates/upstream/src/discovery.rs
+++ b/crates/upstream/src/discovery.rs
@@ -3,7 +3,6 @@
 use crate::conn::{Conn, Outgoing};
 use crate::driver::{Driver, Input};
 use applemill_ledger::Target;
-use applemill_log as log;
 use applemill_socket::Descriptors;
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
@@ -14,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
+use tracing::{info, warn};
 
 /// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
 /// agent that has fallen silent.
@@ -49,7 +49,7 @@
             Ok(target) => targets.push(target),
             Err(field) => {
                 let line = line.to_string();
-                log::line(&format!("discovery: entry skipped, bad {field}: {line:.200}"));
+                warn!(field, entry = %format_args!("{line:.200}"), "discovery: entry skipped");
             }
         }
     }
@@ -146,7 +146,7 @@
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
                     if failing {
-                        log::line("discovery: answers again");
+                        info!("discovery: answers again");
                         failing = false;
                     }
                     // No change is news too where discovery is asked: the call did not fail.
@@ -161,7 +161,7 @@
                 Err(e) => {
                     conn = None;
                     if !failing {
-                        log::line(&format!("discovery: no answer: {e}"));
+                        warn!("discovery: no answer: {e}");
                         failing = true;
                     }
                     if self.mode == Discovery::OnRequest {
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -10,7 +10,6 @@
 use crate::pipe::{Feed, Pipes};
 use crate::streamed::{End, Taker};
 use applemill_ledger::{Answer, Cargo, ConnId, Effect, Heard, Ledger, Limits, Wire, Written};
-use applemill_log as log;
 use applemill_socket::Descriptors;
 use birchspoke::Balancer;
 use birchspoke::interface::{Outcome, Reporting, Request, RequestId};
@@ -24,6 +23,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
+use tracing::info;
 
 /// What is owed to a client: the way to who waits for it.
 type Owed = oneshot::Sender<Answer<Reply>>;
@@ -245,7 +245,7 @@
             }
             // Discovery may have ended with the node.
             Effect::Watch(on) => drop(self.watch.send(on)),
-            Effect::Log(text) => log::line(&text),
+            Effect::Log(text) => info!("{text}"),
         }
     }
 
--- a/crates/upstream/src/peers.rs
+++ b/crates/upstream/src/peers.rs
@@ -1,9 +1,9 @@
 //! Datagrams between nodes.
 
-use applemill_log as log;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tracing::warn;
 
 /// A longer datagram breaks the deployment's rules.
 const LONGEST: usize = 256;
@@ -30,7 +30,7 @@
     /// Sends to one node or to all others. A message that cannot go is lost, as any may be.
     pub fn send(&self, to: Option<u32>, bytes: &[u8]) {
         if bytes.len() > LONGEST {
-            log::line(&format!("message of {} bytes not sent", bytes.len()));
+            warn!(bytes = bytes.len(), longest = LONGEST, "message not sent");
             return;
         }
         let node = |n: u32| self.nodes.get(n as usize).copied();
