Tests of routes, streams and reloads played over TLS too, through a tunnel

Tests that know no TLS are played again by it: the node they start speaks TLS, and plain clients reach it through a tunnel of the stand-ins that passes halves, ends and cuts on. 22 tests (requests, retries, streams, cuts, drains, stops).

The first tunnel lost an early answer behind a reset: the copy of tokio ends both ways where one breaks, and that was the tunnel's fault, not the node's.

--- a/crates/node/tests/node_route_reload.rs
+++ b/crates/node/tests/node_route_reload.rs
@@ -239,3 +239,8 @@
     said(&lines, "taken");
     assert!((0..20).all(|_| served(b"b")), "nothing new to one that is gone");
 }
+
+over_tls! {
+    a_bid_that_is_out_ends_under_its_version_whose_route_the_new_one_drops
+    servers_of_a_fixed_list_come_and_go_with_the_file
+}
--- a/crates/node/tests/node_routes.rs
+++ b/crates/node/tests/node_routes.rs
@@ -359,3 +359,13 @@
         assert!(!places.is_empty() && places.iter().all(|p| report.contains(p)), "{name}: {places:?}");
     }
 }
+
+over_tls! {
+    route_and_backend_see_the_same_path_and_what_could_mean_two_is_refused
+    hosts_are_one_whatever_their_spelling_and_what_is_there_twice_means_nothing
+    answers_of_any_status_and_their_headers_go_on_and_errors_of_servers_do_not
+    a_keyed_request_needs_its_key_and_goes_again_with_it
+    a_request_may_name_its_class_and_is_held_to_it
+    limits_of_a_route_are_kept_body_patience_attempt_and_copies
+    no_bid_runs_twice_whatever_the_floor_does
+}
--- a/crates/node/tests/node_streams.rs
+++ b/crates/node/tests/node_streams.rs
@@ -497,3 +497,19 @@
     assert!(node.ended().success());
     assert!(reading.into_iter().all(|r| !r.join().unwrap().whole), "a cut stream looks whole");
 }
+
+over_tls! {
+    bodies_pass_both_ways_with_lengths_chunks_and_trailers
+    an_answer_to_a_head_tells_its_length_and_the_connection_goes_on
+    what_is_cut_short_is_seen_as_cut
+    an_early_answer_reaches_its_client_and_nothing_behind_the_upload_is_taken_for_a_request
+    a_streamed_upload_that_has_begun_to_run_is_not_sent_again_unless_it_may_and_all_of_it_is_held
+    nobody_is_asked_for_a_body_that_is_refused
+    what_could_hide_a_request_is_refused
+    a_stop_lets_streams_end_and_cuts_them_when_its_time_is_up
+    a_node_that_is_full_of_streams_refuses_more_at_once_and_takes_bids
+    a_connection_that_brought_a_stream_carries_the_next
+    a_server_that_leaves_the_list_goes_on_with_its_stream_and_gets_no_new_one
+    a_server_that_always_drips_is_avoided
+    streams_that_come_in_one_moment_go_on_through_a_drain_and_are_cut_by_the_stop
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod secure;
 mod streams;
+mod tunnel;
 
 pub use auction::*;
 pub use authority::*;
@@ -30,6 +31,7 @@
 pub use relay::*;
 pub use secure::*;
 pub use streams::*;
+pub use tunnel::by_tls;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -1,6 +1,7 @@
 //! A node as its operator has it: the real program, its configuration file, its signals, its figures.
 
 use crate::client::attempt;
+use crate::tunnel::Tunnel;
 use crate::{PATIENCE, free_address, wait_for};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read};
@@ -53,8 +54,10 @@
     Ok(Duration::from_nanos(used))
 }
 
-fn with_listen(text: &str, address: SocketAddr) -> String {
-    text.replace("LISTEN", &address.to_string())
+/// The file by which a node listens at an address, by TLS where there is a tunnel to it.
+fn own_file(text: &str, listens: SocketAddr, tunnel: Option<&Tunnel>) -> String {
+    let text = tunnel.map_or_else(|| text.to_owned(), |t| t.file(text));
+    text.replace("LISTEN", &listens.to_string())
 }
 
 /// A running node; it is killed when dropped.
@@ -64,6 +67,9 @@
     child: Child,
     file: PathBuf,
     config: Value,
+    /// Where it listens, and the tunnel to it where a test is played by TLS.
+    listens: SocketAddr,
+    tunnel: Option<Tunnel>,
 }
 
 impl Node {
@@ -93,7 +99,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        Node { address, child, file, config }
+        Node { address, child, file, config, listens: address, tunnel: None }
     }
 
     /// Starts one on an operator's file alone, in which `LISTEN` stands for its address.
@@ -115,13 +121,17 @@
     /// # Errors
     /// The file cannot be written, or the program not started.
     pub fn run_file(mut command: Command, text: &str) -> std::io::Result<Node> {
-        let address = free_address();
-        let name = format!("applemill-{}-{}.toml", std::process::id(), address.ip());
+        let listens = free_address();
+        let name = format!("applemill-{}-{}.toml", std::process::id(), listens.ip());
         let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, with_listen(text, address))?;
+        let tunnel = Tunnel::wanted(listens)?;
+        std::fs::write(&file, own_file(text, listens, tunnel.as_ref()))?;
         command.args(["run", "--config"]).arg(&file).env_remove("LB_CONFIG").env_remove("LB_OPERATOR");
         match command.spawn() {
-            Ok(child) => Ok(Node { address, child, file, config: Value::Null }),
+            Ok(child) => {
+                let address = tunnel.as_ref().map_or(listens, |t| t.address);
+                Ok(Node { address, child, file, config: Value::Null, listens, tunnel })
+            }
             Err(e) => {
                 let _ = std::fs::remove_file(&file);
                 Err(e)
@@ -143,7 +153,7 @@
         config["listen"] = address.to_string().into();
         std::fs::write(&platform, config.to_string())?;
         program.env("LB_CONFIG", &platform).env("LB_OPERATOR", &file).env_remove("LB_DISCOVERY");
-        Ok(Node { address, child: program.spawn()?, file, config })
+        Ok(Node { address, child: program.spawn()?, file, config, listens: address, tunnel: None })
     }
 
     /// Waits until it can serve.
@@ -181,7 +191,7 @@
 
     /// Replaces the operator's file and has it read.
     pub fn reload_file(&self, text: &str) {
-        self.reload_text(&with_listen(text, self.address));
+        self.reload_text(&own_file(text, self.listens, self.tunnel.as_ref()));
     }
 
     /// Has whatever is at its file's place read.
--- a/crates/stand-ins/src/secure.rs
+++ b/crates/stand-ins/src/secure.rs
@@ -91,7 +91,7 @@
 
 /// How a client speaks TLS.
 #[derive(Clone)]
-pub struct Secure(Arc<ClientConfig>);
+pub struct Secure(pub(crate) Arc<ClientConfig>);
 
 impl Secure {
     /// One that trusts a root, and asks to come again by ticket.
