--- a/crates/keeper/src/acme.rs
+++ b/crates/keeper/src/acme.rs
@@ -1,6 +1,6 @@
 //! One order of a certificate from one authority (RFC 8555), by instant-acme, and what went wrong with it.
 
-use crate::clock::wall_s;
+use crate::clock::Wall;
 use crate::http::{Back, Client, Said, account_key};
 use crate::proofs::Proof;
 use crate::store::Store;
@@ -252,7 +252,7 @@
 fn trouble(e: &Error, back: &Back) -> Trouble {
     let Said { status, back } = *back.lock().unwrap_or_else(PoisonError::into_inner);
     // A time of day there, a length here.
-    let back = back.map(|at| (at - wall_s()).max(0.0));
+    let back = back.map(|at| (at - Wall::default().now_s()).max(0.0));
     let kind = match e {
         Error::Api(p) => p.r#type.as_deref().and_then(|t| t.rsplit(':').next()).unwrap_or_default(),
         _ => "",
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -1,7 +1,7 @@
 //! The thread that keeps certificates: it runs what the schedule says, each run on a thread of its own, so that one that
 //! hangs or panics ends alone.
 
-use crate::clock::{thread_cpu_ms, wall_s};
+use crate::clock::{Wall, thread_cpu_ms};
 use crate::files::{Watched, read_callers, read_tickets, replace_callers};
 use crate::order::{HOLD_MS, PROOFS, step, wished};
 use crate::proofs::{Proof, Proofs};
@@ -54,11 +54,14 @@
     pub file: &'a File,
     /// Bids wait: whoever runs the loop says so.
     pub pressed: Arc<AtomicBool>,
+    /// What certificates' times are judged by.
+    pub wall: Wall,
 }
 
 /// What all runs share.
 pub(crate) struct Inner {
     pub(crate) node: String,
+    pub(crate) wall: Wall,
     pub(crate) served: Arc<Served>,
     pub(crate) proofs: Arc<Proofs>,
     pub(crate) store: Option<Store>,
@@ -101,11 +104,11 @@
         let wanted = self.wanted();
         let Some(certificate) = wanted.certificate(name) else { return };
         let mut kept = locked(&self.kept).get(name).cloned().unwrap_or_default();
-        let (new, wrong) = kept.look(certificate, self.store.as_ref());
+        let (new, wrong) = kept.look(certificate, self.store.as_ref(), self.wall.now_s());
         if let Some(why) = wrong {
             warn!(certificate = name, why, "certificate kept as it was");
         }
-        let shown = shown(&wanted, certificate, &kept, &self.node);
+        let shown = shown(&wanted, certificate, &kept, &self.node, self.wall.now_s());
         let word = shown.standing.word();
         if word != kept.word {
             let ends = shown.not_after;
@@ -164,7 +167,7 @@
         let wanted = self.wanted();
         let Some(certificate) = wanted.certificate(name) else { return (f64::INFINITY, f64::INFINITY) };
         let (mut record, number, _) = self.record(name);
-        let now = wall_s();
+        let now = self.wall.now_s();
         record.settle(now, wanted.authorities_of(certificate).len());
         let urgent = record.held.map_or(now, |h| h.not_after - h.life() / 4.0);
         if self.store.as_ref().is_some_and(|s| wished(s, name, number)) {
@@ -229,14 +232,14 @@
     /// # Errors
     /// Files that are wrong, a line each.
     pub fn start(settings: Settings<'_>) -> Result<Keeper, Vec<String>> {
-        let Settings { file, pressed } = settings;
+        let Settings { file, pressed, wall } = settings;
         let wanted = Wanted::of(file);
         let store = wanted.terms.state.as_ref().map(|s| Store::new(Path::new(&s.value)));
         let mut kept = BTreeMap::new();
         let mut wrong = Vec::new();
         for certificate in &wanted.certificates {
             let mut own = Kept::default();
-            let (_, why) = own.look(certificate, store.as_ref());
+            let (_, why) = own.look(certificate, store.as_ref(), wall.now_s());
             // What lies in the folder may be mended by the next order; what an operator put there, by nobody else.
             let own_files = matches!(certificate.origin, CertificateOrigin::Files { .. });
             wrong.extend(why.filter(|_| own_files));
@@ -264,6 +267,7 @@
         let served = Arc::new(Served::default());
         let inner = Arc::new(Inner {
             node: node_of(file),
+            wall,
             proofs: Arc::new(Proofs::new(served.clone())),
             served,
             store,
@@ -324,9 +328,9 @@
 
     /// How all stand.
     pub fn shown(&self) -> Vec<Shown> {
-        let (wanted, kept) = (self.inner.wanted(), locked(&self.inner.kept));
+        let (wanted, kept, now) = (self.inner.wanted(), locked(&self.inner.kept), self.inner.wall.now_s());
         let show = |c: &applemill_routes::Certificate| {
-            Some(shown(&wanted, c, kept.get(&c.name.value)?, &self.inner.node))
+            Some(shown(&wanted, c, kept.get(&c.name.value)?, &self.inner.node, now))
         };
         wanted.certificates.iter().filter_map(show).collect()
     }
@@ -427,7 +431,7 @@
 
     /// Orders are due when the plan says so, whatever was said before.
     fn set_orders(&mut self) {
-        let (now, wall) = (self.now(), wall_s());
+        let (now, wall) = (self.now(), self.inner.wall.now_s());
         for (id, job) in &self.jobs {
             let Job::Order(name) = job else { continue };
             if self.running.is_some_and(|(running, _)| running == *id) {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -14,6 +14,7 @@
 mod standing;
 mod store;
 
+pub use clock::Wall;
 pub use keeper::{Keeper, Settings};
 pub use proofs::Proofs;
 pub use standing::{Shown, ask_for, survey};
--- a/crates/keeper/src/order.rs
+++ b/crates/keeper/src/order.rs
@@ -2,12 +2,12 @@
 //! written before and behind it.
 
 use crate::acme::{self, Failed, Place, Wish};
-use crate::clock::{machine_ms, wall_s};
+use crate::clock::machine_ms;
 use crate::keeper::Inner;
 use crate::proofs::Proof;
 use crate::shelf::{certificates_of, held, joined, on_a_line, records_of};
 use crate::store::Store;
-use applemill_certs::check;
+use applemill_certs::{Fault, check};
 use applemill_lease::{Claim, Lease, Next};
 use applemill_renewal::{Held, Record, Step, Trouble};
 use applemill_routes::{Authority, Certificate};
@@ -111,7 +111,7 @@
 
 impl Place for Around<'_> {
     fn about_to_order(&self) -> io::Result<()> {
-        self.record.borrow_mut().ordered(wall_s());
+        self.record.borrow_mut().ordered(self.holding.inner.wall.now_s());
         self.holding.keep(&self.record.borrow())
     }
 
@@ -189,7 +189,7 @@
     let wanted = inner.wanted();
     let (policy, authorities) = (wanted.policy(name, &inner.node), wanted.authorities_of(certificate));
     let (mut record, number, chain) = inner.record(name);
-    let now = wall_s();
+    let now = inner.wall.now_s();
     record.settle(now, authorities.len());
     let wish = wished(holding.store, name, number);
     let until = match record.next(&policy, now) {
@@ -211,7 +211,7 @@
     let Some(authority) = authorities.get(door) else { return Ok(f64::INFINITY) };
     let record = RefCell::new(record);
     let result = run(holding, certificate, authority, &record, &chain);
-    let (mut record, now) = (record.into_inner(), wall_s());
+    let (mut record, now) = (record.into_inner(), inner.wall.now_s());
     if !holding.may_act() {
         warn!(certificate = name, "the lease ran out during the order; what came is left to the others");
         return Ok(0.0);
@@ -289,6 +289,9 @@
     let garbage = |words: String| Failed { trouble: Trouble::Garbage, made: true, words };
     let checked =
         check(chain.as_bytes(), key.as_bytes(), &names).map_err(|faults| garbage(on_a_line(&faults)))?;
-    checked.timely(wall_s() as i64).map_err(|fault| garbage(fault.to_string()))?;
+    // One whose time has not come says more of this node's clock than of the authority; it is kept, and waits.
+    if let Err(fault @ Fault::Expired(_)) = checked.timely(holding.inner.wall.now_s() as i64) {
+        return Err(garbage(fault.to_string()));
+    }
     Ok((joined(&chain, &key), held(&checked)))
 }
--- a/crates/keeper/src/shelf.rs
+++ b/crates/keeper/src/shelf.rs
@@ -1,14 +1,16 @@
 //! What this node has of each certificate: the one in service, where it came from, and its record.
 
-use crate::clock::wall_s;
 use crate::files::{Look, load, look};
 use crate::store::Store;
-use applemill_certs::{Checked, Entry, Fault, Table, check};
+use applemill_certs::{Checked, Entry, Fault, Table, Unix, check};
 use applemill_renewal::{Held, Policy, Record, Seconds};
 use applemill_routes::{Authority, Certificate, CertificateOrigin, File, Tls as Terms};
 use rustls::sign::CertifiedKey;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// One that is not good yet waits behind one that is; by more than this it is a slip, in seconds.
+const EARLY_S: Unix = 7 * 86_400;
+
 /// What the operator's file says of all this.
 #[derive(Clone, Debug)]
 pub(crate) struct Wanted {
@@ -72,7 +74,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Kept {
     pub(crate) checked: Option<Checked>,
-    /// Its number in the folder.
+    /// The newest, where its time has not come and the one in service is still good: by this node's clock, which may be wrong.
+    coming: Option<Checked>,
+    /// The newest one's number in the folder.
     pub(crate) number: u64,
     /// Its chain in PEM, where it came from the folder.
     pub(crate) chain: Vec<u8>,
@@ -105,21 +109,37 @@
 }
 
 impl Kept {
-    /// Takes a certificate, unless it is worse than what there is.
-    fn take(&mut self, checked: Checked) -> Result<(), String> {
-        let now = wall_s() as i64;
-        if let (Err(fault), Some(old)) = (checked.timely(now), &self.checked)
-            && old.timely(now).is_ok()
-        {
-            return Err(format!("{fault}; the one in service is good until {}", old.not_after));
-        }
+    /// Takes a certificate, unless it is worse than what there is; true where it is in service now.
+    fn take(&mut self, checked: Checked, now: Unix) -> Result<bool, String> {
+        let old_until =
+            self.checked.as_ref().filter(|old| old.timely(now).is_ok()).map(|old| old.not_after);
+        let waits = match (checked.timely(now), old_until) {
+            (Err(Fault::Early(from)), Some(_)) if from - now <= EARLY_S => true,
+            (Err(fault), Some(until)) => {
+                return Err(format!("{fault}; the one in service is good until {until}"));
+            }
+            _ => false,
+        };
         let held = held(&checked);
         if self.record.held != Some(held) {
             // What was said of another does not hold of this one.
             (self.record.held, self.window, self.record.window) = (Some(held), None, None);
         }
-        self.checked = Some(checked);
-        Ok(())
+        if waits {
+            self.coming = Some(checked);
+        } else {
+            (self.checked, self.coming) = (Some(checked), None);
+        }
+        Ok(!waits)
+    }
+
+    /// One that waited is in service where its time has come, or that of the one before it is over.
+    fn promote(&mut self, now: Unix) -> bool {
+        let old_good = self.checked.as_ref().is_some_and(|old| old.timely(now).is_ok());
+        let ready = self.coming.take_if(|c| !old_good || c.timely(now).is_ok());
+        let promoted = ready.is_some();
+        self.checked = ready.or(self.checked.take());
+        promoted
     }
 
     /// Looks whether anything is new; true where another is in service. What is wrong is told once.
@@ -127,30 +147,39 @@
         &mut self,
         certificate: &Certificate,
         store: Option<&Store>,
+        now: Seconds,
     ) -> (bool, Option<String>) {
+        let now = now as Unix;
+        let promoted = self.promote(now);
         let looked = match (&certificate.origin, store) {
             (CertificateOrigin::Files { chain, key }, _) => {
-                self.look_at_files(certificate, &chain.value, &key.value)
+                self.look_at_files(certificate, &chain.value, &key.value, now)
             }
-            (CertificateOrigin::Authorities(_), Some(store)) => self.look_in(certificate, store),
+            (CertificateOrigin::Authorities(_), Some(store)) => self.look_in(certificate, store, now),
             _ => Ok(false),
         };
-        match looked {
+        match looked.map(|new| new || promoted) {
             Ok(new) => {
                 if new {
                     self.complaint = None;
                 }
                 (new, None)
             }
-            Err(why) if self.complaint.as_ref() == Some(&why) => (false, None),
+            Err(why) if self.complaint.as_ref() == Some(&why) => (promoted, None),
             Err(why) => {
                 self.complaint = Some(why.clone());
-                (false, Some(why))
+                (promoted, Some(why))
             }
         }
     }
 
-    fn look_at_files(&mut self, certificate: &Certificate, chain: &str, key: &str) -> Result<bool, String> {
+    fn look_at_files(
+        &mut self,
+        certificate: &Certificate,
+        chain: &str,
+        key: &str,
+        now: Unix,
+    ) -> Result<bool, String> {
         let looks = (look(chain), look(key));
         if self.looks == Some(looks) {
             return Ok(false);
@@ -161,37 +190,47 @@
             return Ok(false);
         }
         self.looks = Some(looks);
-        self.take(loaded?)?;
-        Ok(true)
+        self.take(loaded?, now)
     }
 
-    fn look_in(&mut self, certificate: &Certificate, store: &Store) -> Result<bool, String> {
+    fn look_in(&mut self, certificate: &Certificate, store: &Store, now: Unix) -> Result<bool, String> {
         let name = &certificate.name.value;
         self.look_at_record(name, store)?;
         let shelf = certificates_of(name);
         let numbers = store.numbers(&shelf).map_err(|e| format!("state: {e}"))?;
         let names: Vec<String> = certificate.names.iter().map(|n| n.value.clone()).collect();
-        let mut wrong = None;
-        // The highest that is good: one that is not leaves those before it in service.
-        let served = self.number;
-        for number in numbers.into_iter().take_while(|n| *n > served) {
+        let (mut wrong, mut read) = (None, Vec::new());
+        // From the highest to the first that is good now: those that are not leave the ones before them in service, and one that
+        // is not good yet waits, also where this node has just started and knows of none before it.
+        for number in numbers.into_iter().take_while(|n| *n > self.number) {
             let Some(pem) = store.get_number(&shelf, number).map_err(|e| format!("state: {e}"))? else {
                 continue;
             };
             let (chain, key) = split(&pem);
-            let taken = match check(&chain, &key, &names) {
-                Ok(checked) => self.take(checked),
-                Err(faults) => Err(on_a_line(&faults)),
-            };
-            match taken {
-                Ok(()) => {
+            match check(&chain, &key, &names) {
+                Ok(checked) => {
+                    let good = checked.timely(now).is_ok();
+                    read.push((number, chain, checked));
+                    if good {
+                        break;
+                    }
+                }
+                Err(faults) => {
+                    wrong.get_or_insert_with(|| format!("state: number {number}: {}", on_a_line(&faults)));
+                }
+            }
+        }
+        let mut new = false;
+        for (number, chain, checked) in read.into_iter().rev() {
+            match self.take(checked, now) {
+                Ok(in_service) => {
                     (self.number, self.chain) = (number, chain);
-                    return Ok(true);
+                    new |= in_service;
                 }
                 Err(why) => wrong = wrong.or(Some(format!("state: number {number}: {why}"))),
             }
         }
-        wrong.map_or(Ok(false), Err)
+        if new { Ok(true) } else { wrong.map_or(Ok(false), Err) }
     }
 
     /// The fleet's record, where another node has written a newer one.
--- a/crates/node/src/setup.rs
+++ b/crates/node/src/setup.rs
@@ -1,7 +1,7 @@
 //! What a node is made of: from the platform's configuration, an operator's file, or both.
 
 use crate::config::{Config, ConfigError};
-use applemill_keeper::{Keeper, Settings as KeeperSettings};
+use applemill_keeper::{Keeper, Settings as KeeperSettings, Wall};
 use applemill_operator::{self as operator, FileError, Operator, PoolSetup, Source};
 use applemill_routes::File;
 use applemill_tls::Terms;
@@ -214,7 +214,7 @@
         return Ok(None);
     }
     let pressed = Arc::new(AtomicBool::new(false));
-    let keeper = Keeper::start(KeeperSettings { file, pressed: pressed.clone() });
+    let keeper = Keeper::start(KeeperSettings { file, pressed: pressed.clone(), wall: Wall::default() });
     let terms = Terms {
         longest: Duration::from_secs_f64(file.tls.handshake_ms / 1000.0),
         at_once: file.tls.handshakes as usize,
