--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -164,6 +164,16 @@
     }
 }
 
+/// How a piece of work beside requests stands, for `/up`.
+fn task_word(state: State) -> &'static str {
+    match state {
+        State::Waiting => "waits",
+        State::Due => "due",
+        State::Late => "late",
+        State::Running => "runs",
+    }
+}
+
 /// What a node with certificates tells by itself: proofs of names, and beside `/up` how certificates and the work on them
 /// stand.
 fn pages(keeper: Rc<Keeper>, tls: Tls) -> OwnPages {
@@ -171,10 +181,10 @@
     Box::new(move |path| match path {
         "/up" => {
             let certificates = keeper.shown().into_iter().map(|c| format!("{c}\n"));
-            let late = keeper.tasks().into_iter().filter(|t| t.state == State::Late);
+            let tasks = keeper.tasks().into_iter().map(|t| format!("{}: {}\n", task_word(t.state), t.name));
             let Handshakes { full, resumed, failed } = tls.handshakes();
             let shaken = format!("handshakes: {full} full, {resumed} resumed, {failed} failed\n");
-            Some(certificates.chain(late.map(|t| format!("late: {}\n", t.name))).chain([shaken]).collect())
+            Some(certificates.chain(tasks).chain([shaken]).collect())
         }
         _ => proofs.answer(path.rsplit('/').next()?),
     })
--- a/crates/node/tests/node_tls.rs
+++ b/crates/node/tests/node_tls.rs
@@ -78,6 +78,11 @@
         up.contains("certificate a: fresh") && up.contains("handshakes: 4 full, 1 resumed, 5 failed"),
         "{up}"
     );
+    // And the work beside requests is there to be seen.
+    assert!(
+        ["waits: look", "due: look", "runs: look", "late: look"].iter().any(|l| up.contains(l)),
+        "{up}"
+    );
     assert_eq!(ask(site.plain, BID).status(), 200);
 }
 
