--- a/crates/node/tests/node_route_reload.rs
+++ b/crates/node/tests/node_route_reload.rs
@@ -240,6 +240,42 @@
     assert!((0..20).all(|_| served(b"b")), "nothing new to one that is gone");
 }
 
+/// How many of some pages each server gets, of three, the last of which a reload has just added.
+fn shares_after_a_reload_adds_one(added: &str) -> Vec<usize> {
+    let records: Vec<Record> = (0..3).map(|_| Record::default()).collect();
+    let servers: Vec<SocketAddr> = records.iter().map(|r| backend(r, |_, _| ok(b"x"))).collect();
+    let text = |list: &str| {
+        file(servers[0], &route("page", "/a", "page")).replace(
+            &format!("servers = [{{ address = \"{}\" }}]", servers[0]),
+            &format!("servers = [{list}]"),
+        )
+    };
+    let two = format!("{{ address = \"{}\" }}, {{ address = \"{}\" }}", servers[0], servers[1]);
+    let mut node = Node::start_by_file(&text(&two));
+    let lines = node.log_lines();
+    let pages = |count: usize| {
+        for _ in 0..count {
+            assert_eq!(get(node.address, "/a"), 200);
+            thread::sleep(std::time::Duration::from_millis(2));
+        }
+    };
+    pages(400);
+    node.reload_file(&text(&format!("{two}, {{ address = \"{}\"{added} }}", servers[2])));
+    said(&lines, "taken");
+    let before: Vec<usize> = records.iter().map(Record::count).collect();
+    pages(600);
+    records.iter().zip(before).map(|(r, b)| r.count() - b).collect()
+}
+
+#[test]
+fn a_server_that_a_reload_adds_is_cold_and_not_pushed_over_unless_the_file_says_it_is_warm() {
+    let cold = shares_after_a_reload_adds_one("");
+    // A fifth of what it will be able to do, at its start.
+    assert!(cold[2] * 2 < cold[0].min(cold[1]), "{cold:?}");
+    let warm = shares_after_a_reload_adds_one(", warm = true");
+    assert!(warm[2] * 2 > warm[0].min(warm[1]), "{warm:?}");
+}
+
 over_tls! {
     a_bid_that_is_out_ends_under_its_version_whose_route_the_new_one_drops
     servers_of_a_fixed_list_come_and_go_with_the_file
--- a/crates/operator/src/running.rs
+++ b/crates/operator/src/running.rs
@@ -73,7 +73,7 @@
             settings.classes = slots.values().cloned().collect();
             let source = match &pool.discovery {
                 Some(at) => Source::Discovery(at.value),
-                None => Source::Fixed(targets(pool, &names)),
+                None => Source::Fixed(targets(pool, &names, None)),
             };
             pools.push(PoolSetup {
                 name: pool.name.value.clone(),
@@ -174,7 +174,8 @@
                     pool.name.value
                 ));
             }
-            let list = targets(pool, &running.names);
+            let list =
+                targets(pool, &running.names, before.map(|old| (old, running.driver.clock.now_ms())));
             let zone = |s: &applemill_routes::Server| {
                 s.zone.as_ref().is_some_and(|z| running.names.zone(Some(&z.value)) == u16::MAX)
             };
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -1,7 +1,7 @@
 //! What the file says, as the decisions need it: classes, settings and fixed lists.
 
 use applemill_ledger::Target;
-use applemill_routes::{DroppedBy, Effect as RouteEffect, File, Plan, Pool, Retry};
+use applemill_routes::{DroppedBy, Effect as RouteEffect, File, Plan, Pool, Retry, Server};
 use birchspoke::interface::{BackendId, Class, Effect, Entry, Group, Health, RouteValues, Settings};
 use birchspoke::wire::{self, Names, WireError, stable_hash};
 use serde_json::json;
@@ -61,9 +61,19 @@
     wire::settings(&settings.to_string())
 }
 
-/// A fixed list as the decisions and the driver need it.
-pub(crate) fn targets(pool: &Pool, names: &Names) -> Vec<Target> {
-    let target = |s: &applemill_routes::Server| Target {
+/// A fixed list as the decisions and the driver need it. What it has beside the list `before` it is a program that has just
+/// started, and cold from `now_ms` on, unless the file says that it is warm: a list that grows must push over nobody. Where
+/// none of the old ones stays there is nobody else to go on with, and so nothing to spare the new ones by.
+pub(crate) fn targets(pool: &Pool, names: &Names, before: Option<(&Pool, f64)>) -> Vec<Target> {
+    let was = |s: &Server| {
+        before.is_some_and(|(old, _)| {
+            old.servers.iter().any(|o| o.name.value == s.name.value && o.address.value == s.address.value)
+        })
+    };
+    let any_stays = pool.servers.iter().any(was);
+    let cold_from =
+        |s: &Server| before.filter(|_| any_stays && !s.warm && !was(s)).map_or(0.0, |(_, now_ms)| now_ms);
+    let target = |s: &Server| Target {
         entry: Entry {
             // Two pools may each have a server of that name.
             backend: BackendId(stable_hash(&format!("{}/{}", pool.name.value, s.name.value))),
@@ -71,7 +81,7 @@
             cell: s.cell.as_ref().map_or(0, |c| c.value),
             health: Health::Up,
             units: s.weight,
-            ready_at_ms: 0.0,
+            ready_at_ms: cold_from(s),
         },
         address: Some(s.address.value),
     };
--- a/crates/routes/src/fields.rs
+++ b/crates/routes/src/fields.rs
@@ -269,6 +269,7 @@
     f("zone", Kind::Text, "Its zone."),
     f("cell", Kind::Count, "Its cell."),
     f("weight", Kind::Number, "Its size beside the others'."),
+    f("warm", Kind::Flag, "It is warm already when a reload adds it; one that is added is cold if absent."),
 ];
 
 pub(crate) const POOL: &[Field] = &[
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -239,6 +239,8 @@
     pub cell: Option<At<u32>>,
     /// Its size.
     pub weight: f64,
+    /// It is warm already when a reload adds it.
+    pub warm: bool,
 }
 
 /// A pool of servers.
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -117,7 +117,8 @@
                 let weight = s.number("weight", 1e-3, 1e6).unwrap_or(1.0);
                 let address = address?;
                 let name = name.unwrap_or_else(|| At { value: address.value.to_string(), at });
-                Some(Server { name, address, zone, cell, weight })
+                let warm = s.flag("warm").unwrap_or(false);
+                Some(Server { name, address, zone, cell, weight, warm })
             });
             let discovery = s.address("discovery", false);
             let acts_on_part = s.choice("acts_on", fields::ACTS_ON).is_none_or(|(n, _)| n == 0);
