Ledger: a table of what an end means, by what was asked, written and heard

Three mutants of Exchange::timed_out lived through the ledger's tests and the explorer: what a late probe and a silent one are called, and the guard of what never ran. A table of cases finds each.

--- a/crates/ledger/src/conn.rs
+++ b/crates/ledger/src/conn.rs
@@ -124,3 +124,44 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::timers::Timers;
+
+    #[test]
+    fn what_an_end_means_goes_by_what_was_written_heard_and_asked() {
+        let attempt = Errand::Attempt(RequestId(1), 1);
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let timer = Timers::<()>::new().set(0.0, ());
+        let ends = |errand, written, heard, acts_on_part| {
+            let job = Job { errand, backend: BackendId(1), address, sent_ms: 0.0, until_ms: 1.0 };
+            let e = Exchange { job, timer, idle_ms: None, written, heard, uploads_ms: None, acts_on_part };
+            [e.timed_out(), e.spoilt(), e.broke()]
+        };
+        let (nothing, some) = (Heard::Nothing, Heard::Begun);
+        let never = [Outcome::NotConnected; 3];
+        let silent = [Outcome::TimedOut, Outcome::Error, Outcome::Reset];
+        let late = [Outcome::Error, Outcome::Error, Outcome::Reset];
+        for (errand, written, heard, acts_on_part, right) in [
+            (attempt, Written::Nothing, nothing, true, never),
+            (attempt, Written::Nothing, some, true, never),
+            (attempt, Written::Part, nothing, false, never),
+            (attempt, Written::Part, nothing, true, silent),
+            (attempt, Written::Part, some, false, late),
+            (attempt, Written::Whole, nothing, false, silent),
+            (attempt, Written::Whole, some, false, late),
+            // A probe is late whatever came of it, and breaks as it breaks.
+            (Errand::Probe, Written::Nothing, nothing, true, silent),
+            (Errand::Probe, Written::Part, nothing, false, silent),
+            (Errand::Probe, Written::Whole, some, true, silent),
+        ] {
+            assert_eq!(
+                ends(errand, written, heard, acts_on_part),
+                right,
+                "{errand:?} {written:?} {heard:?} {acts_on_part}"
+            );
+        }
+    }
+}
