--- a/crates/ledger/src/conn.rs
+++ b/crates/ledger/src/conn.rs
@@ -128,7 +128,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::timers::Timers;
+    // By its place, and not from the root: `planted` has this file in modules of its own.
+    use super::super::timers::Timers;
 
     #[test]
     fn what_an_end_means_goes_by_what_was_written_heard_and_asked() {
