--- a/crates/membership/tests/safe.rs
+++ b/crates/membership/tests/safe.rs
@@ -285,7 +285,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 3_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 1_500, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn shares_never_pass_the_whole(
