--- a/crates/keeper/src/shelf.rs
+++ b/crates/keeper/src/shelf.rs
@@ -8,9 +8,6 @@
 use rustls::sign::CertifiedKey;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// One that is not good yet waits behind one that is; by more than this it is a slip, in seconds.
-const EARLY_S: Unix = 7 * 86_400;
-
 /// What the operator's file says of all this.
 #[derive(Clone, Debug)]
 pub(crate) struct Wanted {
@@ -114,7 +111,7 @@
         let old_until =
             self.checked.as_ref().filter(|old| old.timely(now).is_ok()).map(|old| old.not_after);
         let waits = match (checked.timely(now), old_until) {
-            (Err(Fault::Early(from)), Some(_)) if from - now <= EARLY_S => true,
+            (Err(Fault::Early(_)), Some(_)) => true,
             (Err(fault), Some(until)) => {
                 return Err(format!("{fault}; the one in service is good until {until}"));
             }
--- a/crates/measure/src/acme/beside.rs
+++ b/crates/measure/src/acme/beside.rs
@@ -68,6 +68,8 @@
             thread::sleep(Duration::from_millis(1500));
         }
     }
+    // What is started after this may run anywhere again.
+    sched_setaffinity(None, &all)?;
     let orders = fleet.authority.counts().orders - before;
     eprintln!("bids beside {orders} orders on one core: p99 {ratios:.2?} of that without");
     if orders < 2 * u64::from(scale) {
