Decisions: a node of many keeps its part of connections, and full backends count as strain

The guard ("connections are scarce") was learned by each node alone, after 9 s, and what it gave back was taken at once by nodes that had not learned it yet: released slots went to whoever dialled next and kept them.

Change, lines of balance.rs: `connections` keeps 48 a backend over all nodes, at those called last, and none for a while where a dial was refused (the guard by a mean of all dials is gone); `second_is_freer` takes, where both candidates have as many in flight, the one with a kept connection, in fleets of more than 48 nodes; a hot key's parts are each node's own few instead of a draw per request (`pick`); `learn` counts what is turned away as strain as far as the node is sparse. Room in the module: `rest` is gone.

--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -123,6 +123,9 @@
     /// Until when idle connections are closed again at each tick: one whose handshake was under way at the
     /// notice, or at the last outcome, turns idle later. 0 where nothing is to be closed.
     close_until: f64,
+    /// When a connection there last turned idle and was kept, 0 for none; and until when none is.
+    kept_at: f64,
+    full_until: f64,
     in_flight: u32,
     /// Start of its cold time, by the list or by its silence.
     cold_since: f64,
@@ -136,6 +139,13 @@
     faults: Vec<Recent>,
 }
 
+impl Backend {
+    /// A connection there carries nothing and may be used again.
+    fn keeps(&self, now: f64, s: &Settings) -> bool {
+        self.in_flight == 0 && self.kept_at > 0.0 && now - self.kept_at < KEEP_PART * s.conn_idle_ms
+    }
+}
+
 /// A share of 0 to 1 as last heard, and when that was.
 #[derive(Clone, Copy, Debug, Default)]
 struct Recent {
@@ -271,16 +281,8 @@
     room: f64,
     /// A request has found that full since the last tick.
     crowded: bool,
-    /// Requests asked and served a second, the most that was ever served, and for how long that has been out
-    /// of reach.
-    asked: f64,
+    /// Requests served a second, and those since the last tick.
     served: f64,
-    most_served: f64,
-    fallen_for: f64,
-    /// Nothing is let in until then; and no other rest before that.
-    rest_until: f64,
-    rest_again: f64,
-    asked_count: f64,
     served_count: f64,
     good: f64,
     bad: f64,
@@ -347,9 +349,6 @@
     fleet_failing: f64,
     /// Attempts that are out.
     in_flight: u32,
-    /// Share of recent attempts that found no connection, and until when connections are held to be scarce.
-    unconnected: f64,
-    scarce_until: f64,
     /// Mean pressure that answers report, over all backends.
     pressure: f64,
     /// Mean pressure above which the fleet is too full.
@@ -573,7 +572,6 @@
         let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
-        self.rest(now, seconds, out);
         let closing = self.backends.iter().filter(|b| now < b.close_until);
         out.extend(closing.map(|b| Action::Release(b.id)));
         // Trials by probe, one at a time, for backends past their PRAT.
@@ -627,6 +625,8 @@
         let seconds = seconds.min(1.0);
         let keep = (-seconds / 2.0_f64).exp();
         let a = &mut self.admission;
+        a.served = a.served * keep + a.served_count / seconds * (1.0 - keep);
+        a.served_count = 0.0;
         for (rate, count) in &mut a.tenants {
             *rate = *rate * keep + f64::from(*count) / seconds * (1.0 - keep);
             *count = 0;
@@ -696,31 +696,6 @@
         }
     }
 
-    /// Backends that were crowded may stay slow until nearly idle; admission alone keeps them just busy. When
-    /// far less than before is served though more is asked and admission has closed, the fleet rests. Holds
-    /// against whatever heals only in rest; where it is slow for another reason this costs the rest.
-    fn rest(&mut self, now: f64, seconds: f64, out: &mut Vec<Action>) {
-        let keep = (-seconds / 2.0_f64).exp();
-        let a = &mut self.admission;
-        a.asked = a.asked * keep + a.asked_count / seconds * (1.0 - keep);
-        a.served = a.served * keep + a.served_count / seconds * (1.0 - keep);
-        (a.asked_count, a.served_count) = (0.0, 0.0);
-        // After a rest, only what is served from then on is the measure of the next.
-        a.most_served = if now < a.rest_until { a.served } else { a.most_served.max(a.served) };
-        // A deviation of what so few requests make.
-        let served = a.served + (a.served / 4.0).sqrt();
-        let fallen = served < 0.6 * a.most_served && a.asked > a.most_served && a.level < 0.7;
-        a.fallen_for = if fallen { a.fallen_for + seconds } else { 0.0 };
-        // A node that sees too little to tell would rest alone, to no use.
-        let told = self.s.reporting != Reporting::None && a.most_served >= REST_EVIDENCE;
-        if told && a.fallen_for > 2.0 && now >= a.rest_again {
-            a.rest_until = now + REST_MS;
-            a.rest_again = now + 5.0 * REST_MS;
-            a.level = 0.5;
-            self.log("rest: far less is served than before, nothing is let in for a while".to_owned(), out);
-        }
-    }
-
     // ---- picking ----
 
     /// The two keyed candidates and, if both are blocked, the spill: the usable backend with the fewest
@@ -728,13 +703,19 @@
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let draw = self.rng.f64();
         let open = self.open.get(&id)?;
-        // A key that asks for more than one backend's part of the traffic counts as several keys, drawn by
-        // chance: two candidates could not carry it, and nodes that each hold next to nothing in flight
-        // cannot see that they do not.
+        // A key that asks for more than one backend's part of the traffic counts as several: two candidates
+        // could not carry it, and nodes that each hold next to nothing in flight cannot see that they do not.
+        // Where nodes are many, each has a few of them for its own, and calls where it has connections.
         let key = open.request.key.map_or_else(|| self.rng.u64(..), mix);
-        let sparse = (1.0 - 2.0 * f64::from(self.in_flight) / self.places.len().max(1) as f64).max(0.0);
+        let sparse = self.sparse();
         let parts = 1.0 + sparse * HOT_KEY_PARTS * self.keys.share(key) * self.places.len() as f64;
-        let key = if parts < 2.0 { key } else { mix(key ^ self.rng.u64(..parts as u64)) };
+        let key = if parts < 2.0 {
+            key
+        } else {
+            let own = self.rng.u64(..(parts * 2.0 / f64::from(self.s.instances)).ceil() as u64);
+            let all = (parts as u64).next_power_of_two();
+            mix(key ^ mix((u64::from(self.s.slot) << 16) ^ own) % all)
+        };
         let rank = |p: &Place| {
             let u = (mix(key ^ p.salt) >> 11) as f64 / (1_u64 << 53) as f64;
             -(u.max(f64::MIN_POSITIVE)).ln() * p.per_weight
@@ -767,6 +748,11 @@
         Some(index)
     }
 
+    /// How far this node sees too little of any backend to tell them apart by what it has in flight there.
+    fn sparse(&self) -> f64 {
+        (1.0 - 2.0 * f64::from(self.in_flight) / self.places.len().max(1) as f64).max(0.0)
+    }
+
     /// A class fails at this backend far more often than at large: its keys have their candidates among the
     /// rest, while other classes stay. Holds against a fault of one class, such as a kind of work that hangs
     /// or is turned away; where it is chance, a few keys move for seconds.
@@ -776,13 +762,18 @@
     }
 
     /// Whether the second candidate has fewer of this node's requests in flight or, where both have as many
-    /// (with many nodes, nearly always none), the less pressed of the two by their reports. The odds grow
-    /// with the difference, so that nodes which heard the same report do not all turn at once.
+    /// (with many nodes, nearly always none), a connection to it is kept, where not all can be; else the less
+    /// pressed of the two by their reports. The odds grow with the difference, so that nodes which heard the
+    /// same report do not all turn at once.
     fn second_is_freer(&self, now: f64, first: usize, second: usize, draw: f64) -> bool {
         let (a, b) = (&self.backends[first], &self.backends[second]);
         if a.in_flight != b.in_flight {
             return b.in_flight < a.in_flight;
         }
+        let (kept, other) = (a.keeps(now, &self.s), b.keeps(now, &self.s));
+        if kept != other && f64::from(self.s.instances) > KEPT_EACH {
+            return other;
+        }
         // A first candidate with cores to spare keeps its keys, however idle the second.
         let (first, second) = (a.load.at(now, self.pressure), b.load.at(now, self.pressure));
         first > AT_EASE && draw < (first - second) * PRESSURE_ODDS
@@ -858,7 +849,6 @@
         let mean = self.learned.get(request.class).map_or(1.0, |l| l.mean.max(1.0));
         let cost = request.effort_ms.filter(|e| e.is_finite() && *e > 0.0).unwrap_or(mean);
         let mut let_in = worth > 0.0;
-        self.admission.asked_count += 1.0;
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
             let o = usize::from(over || age >= aim);
             offered[o] += cost;
@@ -870,7 +860,7 @@
             let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[request.class][o];
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
-            let_in = let_in && !crowded && now >= self.admission.rest_until;
+            let_in = let_in && !crowded;
         }
         request.key.into_iter().for_each(|key| self.keys.note(mix(key)));
         self.admission.retry = (self.admission.retry + 0.1).min(10.0);
@@ -1079,25 +1069,26 @@
         }
     }
 
-    /// Where attempts find no connection at large, backends hold all that they accept, most of them idle ones
-    /// of nodes that seldom call: then none is kept that carries nothing. Holds against any growth in nodes;
-    /// it costs a handshake a request, so a few dead backends must not bring it about.
+    /// Backends hold only so many connections, and all nodes would fill them with idle ones. Each node keeps
+    /// its part of what any backend accepts, where it called last, and none where there was just none to be
+    /// had: who holds one there calls more often. It costs a handshake where calls are far between.
     fn connections(&mut self, now: f64, index: usize, outcome: Outcome, out: &mut Vec<Action>) {
-        if outcome == Outcome::Skipped {
-            return;
-        }
-        let failed = f64::from(u8::from(outcome == Outcome::NotConnected));
-        self.unconnected += 0.02 * (failed - self.unconnected);
-        if self.unconnected > SCARCE {
-            if now >= self.scarce_until {
-                self.log("connections are scarce: idle ones are given back".to_owned(), out);
-                let idle = self.backends.iter().filter(|b| b.in_flight == 0);
-                out.extend(idle.map(|b| Action::Release(b.id)));
-            }
-            self.scarce_until = now + self.s.conn_idle_ms;
+        let b = &mut self.backends[index];
+        match outcome {
+            Outcome::Done | Outcome::Error | Outcome::Full => b.kept_at = now,
+            // The host gives back the others there itself.
+            Outcome::Reset => b.kept_at = 0.0,
+            Outcome::NotConnected => b.full_until = now + self.s.conn_idle_ms,
+            _ => {}
         }
-        if now < self.scarce_until && self.backends[index].in_flight == 0 {
-            out.push(Action::Release(self.backends[index].id));
+        let full = b.in_flight == 0 && now < b.full_until;
+        let kept = self.backends.iter().enumerate().filter(|(_, b)| b.keeps(now, &self.s));
+        let part = KEPT_EACH * self.places.len() as f64 / f64::from(self.s.instances);
+        let over = kept.clone().count() as f64 > part;
+        let oldest = kept.min_by(|a, b| a.1.kept_at.total_cmp(&b.1.kept_at)).filter(|_| over);
+        for i in oldest.map(|(i, _)| i).into_iter().chain(Some(index).filter(|_| full)) {
+            self.backends[i].kept_at = 0.0;
+            out.push(Action::Release(self.backends[i].id));
         }
     }
 
@@ -1153,13 +1144,19 @@
             _ => 1.0,
         };
         let failed = matches!(outcome, Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset);
+        let sparse = self.sparse();
         let b = &mut self.backends[i];
-        // A full or unreachable backend is its own matter; the request goes elsewhere.
-        let own = matches!(outcome, Outcome::Full | Outcome::NotConnected | Outcome::Reset);
-        if !own && !b.record.congested {
-            self.admission.good += worth * (1.0 - strain);
-            self.admission.bad += worth * strain;
-            self.admission.seen += 1.0;
+        // An unreachable backend is its own matter, and so is a full one: the request goes elsewhere. Where
+        // this node sees too little of each to cap it, all fill up before any is known to, which is strain.
+        let counts = match outcome {
+            Outcome::NotConnected | Outcome::Reset => 0.0,
+            Outcome::Full => sparse,
+            _ => 1.0,
+        };
+        if !b.record.congested {
+            self.admission.good += worth * (1.0 - strain) * counts;
+            self.admission.bad += worth * strain * counts;
+            self.admission.seen += counts;
         }
         // Caps tell backends apart: what the whole fleet suffers is admission's matter.
         // At the floor all nodes together keep half a request in flight at a backend that is late, two at one
@@ -1262,8 +1259,10 @@
 const FAULTY: f64 = 0.35;
 /// Mean reported pressure from which admission holds it for strain.
 const FILLING: f64 = 0.85;
-/// Share of attempts without a connection from which connections are scarce.
-const SCARCE: f64 = 0.15;
+/// Part of the time after which backends close idle connections for which one is kept.
+const KEEP_PART: f64 = 0.7;
+/// Idle connections that any backend accepts of all nodes together beside those in use.
+const KEPT_EACH: f64 = 48.0;
 /// Pressure up to which a backend is at ease.
 const AT_EASE: f64 = 0.6;
 /// Odds that the less pressed of two candidates is taken, by unit of difference: all of them from 0.4 on.
@@ -1274,10 +1273,6 @@
 const COLD_KEY_WORK: f64 = 2.0;
 /// Requests in flight at a backend, of all nodes together, that none is held to be too small for.
 const FIRST_CROWD: f64 = 4.0;
-/// Requests served a second from which a fall is told from chance: the deviation is under a fifth of that.
-const REST_EVIDENCE: f64 = 8.0;
-/// Length of a rest.
-const REST_MS: f64 = 5000.0;
 /// Weight of a candidate beyond this node's zone, where crossing is priced: enough of them are left for a
 /// zone with more traffic than its own can carry, and a key keeps few homes.
 const FAR: f64 = 0.5;
--- a/crates/birchspoke/src/balance/digest.rs
+++ b/crates/birchspoke/src/balance/digest.rs
@@ -28,10 +28,10 @@
         });
         learned.iter().for_each(|l| l.digest(state));
         admission.digest(state);
-        let Balancer { fleet_failing, in_flight, unconnected, scarce_until, pressure, full_at, .. } = self;
+        let Balancer { fleet_failing, in_flight, pressure, full_at, .. } = self;
         let Balancer { warm_rate, warm_count, warm_for, told, ticked, ask_failures, logged, .. } = self;
         (in_flight, ask_failures, logged, told.0).hash(state);
-        floats(state, [*total, *fleet_failing, *unconnected, *scarce_until, *pressure, *full_at]);
+        floats(state, [*total, *fleet_failing, *pressure, *full_at]);
         floats(state, [*warm_rate, *warm_count, *warm_for, told.1, *ticked]);
     }
 }
@@ -40,14 +40,26 @@
     fn digest<H: Hasher>(&self, state: &mut H) {
         let Backend { id, zone, cell, units, up, close_until, in_flight, cold_since, cold_tokens, .. } =
             self;
-        let Backend { record, cap, load, faults, .. } = self;
+        let Backend { kept_at, full_until, record, cap, load, faults, .. } = self;
         let Record { buckets, slot, doubt, congested, prat, failed_trials, trial_out, streams } = record;
         let Cap { limit, cut_at, lost, free_at } = cap;
         (id, zone, cell, up, in_flight).hash(state);
         (buckets, slot, doubt, congested, failed_trials, trial_out, streams).hash(state);
         floats(
             state,
-            [*units, *close_until, *cold_since, *cold_tokens, *prat, *limit, *cut_at, *lost, *free_at],
+            [
+                *units,
+                *close_until,
+                *cold_since,
+                *cold_tokens,
+                *prat,
+                *limit,
+                *cut_at,
+                *lost,
+                *free_at,
+                *kept_at,
+                *full_until,
+            ],
         );
         for Recent { value, heard } in faults.iter().chain([load]) {
             floats(state, [*value, *heard]);
@@ -78,17 +90,25 @@
 
 impl Admission {
     fn digest<H: Hasher>(&self, state: &mut H) {
-        let Admission { level, room, crowded, asked, served, most_served, fallen_for, .. } = self;
-        let Admission { rest_until, rest_again, asked_count, served_count, good, bad, blocked, .. } = self;
+        let Admission { level, room, crowded, served, served_count, good, bad, blocked, .. } = self;
         let Admission { seen, held, strain, offered, chance, part, tenants, retry, spill, .. } = self;
         crowded.hash(state);
         floats(
             state,
-            [*level, *room, *asked, *served, *most_served, *fallen_for, *rest_until, *rest_again],
-        );
-        floats(
-            state,
-            [*asked_count, *served_count, *good, *bad, *blocked, *seen, *held, *strain, *retry, *spill],
+            [
+                *level,
+                *room,
+                *served,
+                *served_count,
+                *good,
+                *bad,
+                *blocked,
+                *seen,
+                *held,
+                *strain,
+                *retry,
+                *spill,
+            ],
         );
         floats(state, offered.iter().chain(chance).chain(part).flatten().copied());
         floats(state, tenants.iter().map(|(rate, _)| *rate));
