Nodes of large fleets tell each other which servers answer with errors: crate witness

Need: a node of 300 calls each of 173 backends twice a minute, so a backend that answers with errors loses all nodes' bids until each of them has learned by itself, which it never does: errors close nothing (DESIGN), and the faults kept by class need three within ten seconds.

Change: crates/witness, without I/O or clock: claims of distinct nodes about calls of their own, with their age, never passed on; a server is ill when three say so, at least as many as say well, and this node was not just served there. balance.rs tells 40 nodes drawn by chance of each error, and of an answer where somebody says otherwise; ill backends are no candidates, but for one in ten of what may be repeated. Only where the settings allow messages and nodes are 49 or more.

--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -8,6 +8,7 @@
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
     Reporting, Request, RequestId, RouteValues, Settings, SettingsError,
 };
+use applemill_witness::Court;
 use std::collections::HashMap;
 
 mod digest;
@@ -57,10 +58,6 @@
         self.doubt = if failed { self.doubt.saturating_add(1) } else { 0 };
     }
 
-    fn sums(&self) -> (f64, f64) {
-        self.buckets.iter().fold((0.0, 0.0), |(f, t), b| (f + f64::from(b.0), t + f64::from(b.1)))
-    }
-
     fn trial_due(&self, now: f64) -> bool {
         self.congested && !self.trial_out && now >= self.prat
     }
@@ -140,9 +137,9 @@
 }
 
 impl Backend {
-    /// A connection there carries nothing and may be used again.
+    /// A connection there carries nothing and may be used again: backends close none so soon.
     fn keeps(&self, now: f64, s: &Settings) -> bool {
-        self.in_flight == 0 && self.kept_at > 0.0 && now - self.kept_at < KEEP_PART * s.conn_idle_ms
+        self.in_flight == 0 && self.kept_at > 0.0 && now - self.kept_at < s.conn_idle_ms / 2.0
     }
 }
 
@@ -344,6 +341,8 @@
     open: HashMap<RequestId, Open>,
     learned: Vec<Learned>,
     keys: KeyCounts,
+    /// What nodes, this one among them, say of backends.
+    court: Court,
     admission: Admission,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
     fleet_failing: f64,
@@ -383,6 +382,7 @@
             rng: fastrand::Rng::with_seed(seed),
             learned: vec![Learned::default(); classes],
             keys: KeyCounts::new(),
+            court: Court::new(settings.slot, if settings.peer_messages { settings.instances } else { 1 }),
             admission: Admission {
                 level: 1.0,
                 room: 1.0,
@@ -429,7 +429,8 @@
             Event::Class(index, class) if index < self.learned.len() => {
                 (self.s.classes[index], self.learned[index]) = (class, Learned::default());
             }
-            Event::Class(..) | Event::Started { .. } | Event::Message { .. } => {}
+            Event::Message { from, bytes } => self.court.hear(now, from, &bytes),
+            Event::Class(..) | Event::Started { .. } => {}
         }
     }
 
@@ -501,10 +502,7 @@
             let b = &mut self.backends[index];
             if ready > b.cold_since {
                 // A new start: what the old process did says nothing of this one.
-                if now - ready < self.s.cold_ms {
-                    b.cold_tokens = self.rng.f64();
-                }
-                b.cold_since = ready;
+                (b.cold_since, b.cold_tokens) = (ready, self.rng.f64());
                 b.record.revive();
             }
             (b.zone, b.cell) = (e.zone, e.cell);
@@ -626,7 +624,6 @@
         let keep = (-seconds / 2.0_f64).exp();
         let a = &mut self.admission;
         a.served = a.served * keep + a.served_count / seconds * (1.0 - keep);
-        a.served_count = 0.0;
         for (rate, count) in &mut a.tenants {
             *rate = *rate * keep + f64::from(*count) / seconds * (1.0 - keep);
             *count = 0;
@@ -659,7 +656,7 @@
         if a.crowded && a.strain < TARGET_STRAIN {
             a.room *= 1.0 + 0.2 * seconds;
         }
-        a.crowded = false;
+        (a.crowded, a.served_count) = (false, 0.0);
         // Evidence fades within about a second, so that small nodes still have some.
         let fade = (-seconds / 0.5_f64).exp();
         (a.good, a.bad, a.seen) = (a.good * fade, a.bad * fade, a.seen * fade);
@@ -714,16 +711,19 @@
         } else {
             let own = self.rng.u64(..(parts * 2.0 / f64::from(self.s.instances)).ceil() as u64);
             let all = (parts as u64).next_power_of_two();
-            mix(key ^ mix((u64::from(self.s.slot) << 16) ^ own) % all)
+            mix(key ^ (mix((u64::from(self.s.slot) << 16) ^ own) % all))
         };
         let rank = |p: &Place| {
             let u = (mix(key ^ p.salt) >> 11) as f64 / (1_u64 << 53) as f64;
             -(u.max(f64::MIN_POSITIVE)).ln() * p.per_weight
         };
+        // What others found ill is left to what may go again, now and then.
+        let daring = self.repeats(open.request.class) && draw < 0.1;
+        let ill = |i: usize| !daring && self.court.ill(now, self.backends[i].id.0 as u32);
         let mut best = [(f64::INFINITY, usize::MAX); 2];
         for p in &self.places {
             let r = rank(p);
-            if r < best[1].0 && !self.faulty(now, open.request.class, p.index) {
+            if r < best[1].0 && !self.faulty(now, open.request.class, p.index) && !ill(p.index) {
                 best[1] = (r, p.index);
                 if r < best[0].0 {
                     best.swap(0, 1);
@@ -1100,6 +1100,12 @@
         // close backends and admission to all. A silent one shows by those that wait; it hurts where none do.
         let hurried = allowed < aim / 2.0
             && self.learned.get(class).is_some_and(|l| l.seen >= 20 && allowed < l.mean + 2.0 * l.spread);
+        // Errors close nothing: any backend garbles now and then. Where many nodes get them it is ill.
+        if matches!(outcome, Outcome::Done | Outcome::Error) {
+            let (id, bad) = (self.backends[i].id.0, outcome == Outcome::Error);
+            let told = self.court.saw(now, id as u32, bad, |nodes| self.rng.u32(..nodes)).into_iter();
+            out.extend(told.map(|(to, bytes)| Action::Tell { to: Some(to), bytes }));
+        }
         // Time-outs count as answers that took at least so long: left out, they would make n ever shorter.
         let timed = matches!(outcome, Outcome::Done | Outcome::TimedOut) && !hurried;
         self.learned.get_mut(class).filter(|_| timed).into_iter().for_each(|l| l.answer(elapsed));
@@ -1183,7 +1189,8 @@
         if !failed {
             return;
         }
-        let (failures, tries) = b.record.sums();
+        let sum = |n: fn(&(u16, u16)) -> u16| b.record.buckets.iter().map(|b| f64::from(n(b))).sum::<f64>();
+        let (failures, tries) = (sum(|b| b.0), sum(|b| b.1));
         // M grows with traffic and with what the whole fleet suffers: a shared failure says little.
         let most = 1.0 + tries * (0.25 + 3.0 * self.fleet_failing);
         // A backend that has just fallen silent has a window full of old answers: a run of failures
@@ -1259,8 +1266,6 @@
 const FAULTY: f64 = 0.35;
 /// Mean reported pressure from which admission holds it for strain.
 const FILLING: f64 = 0.85;
-/// Part of the time after which backends close idle connections for which one is kept.
-const KEEP_PART: f64 = 0.7;
 /// Idle connections that any backend accepts of all nodes together beside those in use.
 const KEPT_EACH: f64 = 48.0;
 /// Pressure up to which a backend is at ease.
--- a/crates/birchspoke/tests/behaviour.rs
+++ b/crates/birchspoke/tests/behaviour.rs
@@ -1021,6 +1021,82 @@
     assert_eq!(unsent(20), 0);
 }
 
+/// A node of many that may talk, and 20 backends; class 0 may be repeated, class 1 may not.
+fn talking(instances: u32) -> World {
+    let classes = vec![class(400.0, 1000.0, Effect::Safe), class(400.0, 1000.0, Effect::Unsafe)];
+    World::with_backends(
+        Settings { classes, instances, peer_messages: true, reporting: Reporting::None, ..sparse(1).s },
+        1,
+        20,
+    )
+}
+
+/// So many requests of a class that were sent to one backend, of 400; those sent there end in an error or well.
+fn sent_to(w: &mut World, class: usize, backend: BackendId, end: Outcome) -> usize {
+    let sent = |n: &u64| {
+        let id = w.ask(class, Some(1_000 + n));
+        let there = w.at(id) == Some(backend);
+        w.wait(10.0);
+        w.end(id, if there { end } else { Outcome::Done });
+        w.end(id, Outcome::Done);
+        there
+    };
+    (0..400).filter(sent).count()
+}
+
+#[test]
+fn a_backend_that_three_other_nodes_get_errors_from_is_no_candidate_and_one_that_serves_here_is() {
+    let ill = up(1).backend;
+    let claims = applemill_witness::write(&[applemill_witness::Claim {
+        server: ill.0 as u32,
+        bad: true,
+        age_ms: 0.0,
+    }]);
+    let tell = |w: &mut World, nodes: std::ops::Range<u32>| {
+        nodes.for_each(|from| w.feed(Event::Message { from, bytes: claims.clone() }));
+    };
+    let count = |instances, nodes: std::ops::Range<u32>, class| {
+        let mut w = talking(instances);
+        tell(&mut w, nodes);
+        sent_to(&mut w, class, ill, Outcome::Error)
+    };
+    assert_eq!(count(300, 1..4, 1), 0, "what may not be repeated is spared");
+    assert!((1..=6).contains(&count(300, 1..4, 0)), "what may be repeated goes on trying it, seldom");
+    assert!(count(300, 1..2, 1) >= 8, "two nodes, this one and another, are not enough");
+    assert!(count(40, 1..30, 1) >= 8, "nodes that are few learn alone");
+    let mut w = talking(300);
+    // It is accused, and serves this node.
+    tell(&mut w, 1..2);
+    assert!(sent_to(&mut w, 0, ill, Outcome::Done) >= 8);
+    tell(&mut w, 1..30);
+    assert!(sent_to(&mut w, 1, ill, Outcome::Done) >= 8, "this node was just served there");
+}
+
+#[test]
+fn errors_are_told_to_nodes_drawn_by_chance_and_answers_where_others_got_errors() {
+    let told = |instances, peer_messages, accused: bool, end| {
+        let mut w = World::with_backends(Settings { peer_messages, ..talking(instances).s }, 1, 1);
+        if accused {
+            let claim = applemill_witness::Claim { server: up(1).backend.0 as u32, bad: true, age_ms: 0.0 };
+            w.feed(Event::Message { from: 7, bytes: applemill_witness::write(&[claim]) });
+        }
+        let id = w.ask(1, Some(1));
+        w.wait(10.0);
+        w.end(id, end);
+        w.trace.iter().filter(|a| matches!(a, Action::Tell { to: Some(to), .. } if *to != 0)).count()
+    };
+    assert!(told(300, true, false, Outcome::Error) >= 35);
+    assert!(told(300, true, true, Outcome::Done) >= 35);
+    for (instances, peers, accused, end) in [
+        (300, true, false, Outcome::Done),
+        (300, true, true, Outcome::TimedOut),
+        (300, false, true, Outcome::Error),
+        (40, true, true, Outcome::Error),
+    ] {
+        assert_eq!(told(instances, peers, accused, end), 0, "{instances} {peers} {accused} {end:?}");
+    }
+}
+
 /// Asks and answers for `ms`, always well within the aim or always late, with a report; the part refused.
 fn refused_at(w: &mut World, ms: f64, busy: f64, elapsed: f64) -> f64 {
     let (until, mut asked, mut refused) = (w.now + ms, 0.0, 0.0);
