--- a/crates/birchspoke/src/balance.rs
+++ b/crates/birchspoke/src/balance.rs
@@ -1103,7 +1103,7 @@
         // Errors close nothing: any backend garbles now and then. Where many nodes get them it is ill.
         if matches!(outcome, Outcome::Done | Outcome::Error) {
             let (id, bad) = (self.backends[i].id.0, outcome == Outcome::Error);
-            let told = self.court.saw(now, id as u32, bad, |nodes| self.rng.u32(..nodes)).into_iter();
+            let told = self.court.saw(now, id as u32, bad).into_iter();
             out.extend(told.map(|(to, bytes)| Action::Tell { to: Some(to), bytes }));
         }
         // Time-outs count as answers that took at least so long: left out, they would make n ever shorter.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,4 +20,4 @@
 pub use plain::Terms as Baseline;
 pub use record::{Broken, End, Group, Record, Rule, Second};
 pub use run::{Lab, STRETCH};
-pub use world::{Clients, Cold, Discovery, Fault, Network, Servers, What, World};
+pub use world::{Clients, Cold, Discovery, Fault, Messages, Network, Servers, What, World};
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -108,6 +108,7 @@
             let mut settings = pool.settings.clone();
             (settings.instances, settings.slot) = (world.nodes, number);
             settings.zone = floor.zone(place, zone);
+            settings.peer_messages = world.messages.is_some();
             let limits = Limits {
                 connect_ms: settings.connect_timeout_ms,
                 idle_ms: settings.conn_idle_ms,
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -167,6 +167,11 @@
     pub seconds: Vec<Second>,
     /// By second and server, requests that arrived there.
     pub servers: Vec<Vec<u16>>,
+    /// Requests that servers answered with an error at once: when, in seconds from the begin, and whose, by node; the
+    /// first so many.
+    pub errors: Vec<(f64, u32)>,
+    /// Bytes of messages that nodes sent each other, those that were lost among them.
+    pub told_bytes: u64,
     /// Rules that were broken; the first so many.
     pub broken: Vec<Broken>,
     /// How many in all.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod faults;
+mod messages;
 mod wire;
 
 use crate::draw::Draws;
@@ -28,6 +29,8 @@
 const SECOND: f64 = 1_000.0;
 /// [`Record::marks`] has one for so many events.
 pub const STRETCH: u64 = 1_000;
+/// Errors of servers that are written down one by one.
+const ERRORS: usize = 1_000_000;
 /// Broken rules that are written down one by one.
 const WRITTEN: usize = 20;
 
@@ -58,6 +61,8 @@
     Fault(usize, bool),
     /// A server starts that fell over, or was to start late.
     Starts(usize),
+    /// A message comes to a node.
+    Told { node: usize, pool: usize, from: u32, bytes: Rc<Vec<u8>> },
     /// Nodes look through idle connections.
     Sweep,
     /// A second is over.
@@ -164,6 +169,8 @@
     comers: u64,
     lists: u64,
     network: Draws,
+    /// Those of messages, so that the rest is the same without them.
+    messages: Draws,
     record: Record,
     /// The try that is told of, and what was told.
     telling: Option<Id>,
@@ -192,6 +199,8 @@
             groups,
             seconds: Vec::new(),
             servers: Vec::new(),
+            errors: Vec::new(),
+            told_bytes: 0,
             broken: Vec::new(),
             broken_count: 0,
             cold_ratio: 0.0,
@@ -217,6 +226,7 @@
             comers: 0,
             lists: 0,
             network: Draws::new(seed, 0x4e),
+            messages: Draws::new(seed, 0x7e11),
             record,
             telling: None,
             told: Vec::new(),
@@ -345,7 +355,9 @@
                 }
                 self.at(self.now + SWEEP, Happens::Sweep);
             }
+            Happens::Told { node, pool, from, bytes } => self.is_told(node, pool, from, &bytes),
             Happens::Second => {
+                self.lies();
                 self.look();
                 self.at(self.now + SECOND, Happens::Second);
             }
@@ -393,6 +405,7 @@
             Happens::Starts(n) => (12, *n as u64, 0),
             Happens::Sweep => (13, 0, 0),
             Happens::Second => (14, 0, 0),
+            Happens::Told { node, from, .. } => (15, *node as u64, u64::from(*from)),
         };
         for word in [at, kind, a, b] {
             self.record.digest = (self.record.digest ^ word).wrapping_mul(0x0100_0000_01b3).rotate_left(17);
--- a/crates/lab/src/run/wire.rs
+++ b/crates/lab/src/run/wire.rs
@@ -1,6 +1,6 @@
 //! What nodes do is carried out: connections, requests on their way, servers that work on them, answers on their way back.
 
-use super::{Exchange, Happens, Lab, Reply};
+use super::{BEGIN, ERRORS, Exchange, Happens, Lab, Reply};
 use crate::draw::{Draws, Law, mix};
 use crate::node::{Id, Link, Out};
 use crate::record::Rule;
@@ -46,7 +46,8 @@
                 }
             }
             Effect::Answer(id, answer) => self.answered(id, &answer),
-            Effect::Tell(..) | Effect::Watch(_) | Effect::Log(_) => {}
+            Effect::Tell(to, bytes) => self.tells(node, pool, to, bytes),
+            Effect::Watch(_) | Effect::Log(_) => {}
         }
     }
 
@@ -184,7 +185,12 @@
                 }
                 self.replies(number, Reply::Full, AT_ONCE);
             }
-            Taken::Error => self.replies(number, Reply::Error, AT_ONCE),
+            Taken::Error => {
+                if exchange.id.is_some() && self.record.errors.len() < ERRORS {
+                    self.record.errors.push(((now - BEGIN) / 1000.0, exchange.node as u32));
+                }
+                self.replies(number, Reply::Error, AT_ONCE);
+            }
             Taken::Wrong => self.replies(number, Reply::Wrong, AT_ONCE),
             Taken::Falls => {
                 self.breaks(Rule::Cold, format!("server {at} was pushed over"), exchange.id);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -23,6 +23,9 @@
     /// How nodes hear of servers.
     #[serde(default)]
     pub discovery: Discovery,
+    /// Messages between nodes; they may send none if absent.
+    #[serde(default)]
+    pub messages: Option<Messages>,
     /// Groups of servers that are alike.
     pub servers: Vec<Servers>,
     /// Groups of clients that are alike.
@@ -81,6 +84,28 @@
     }
 }
 
+/// Messages between nodes: datagrams that may be lost, and come late, in any order.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Messages {
+    /// Part of them that is lost.
+    pub lost: f64,
+    /// At the soonest, in milliseconds.
+    pub late_ms: f64,
+    /// And up to so much later.
+    pub spread_ms: f64,
+    /// Each second the last so many nodes tell all others that a server answers with errors that does not.
+    pub liars: u32,
+    /// Which one.
+    pub accused: u32,
+}
+
+impl Default for Messages {
+    fn default() -> Messages {
+        Messages { lost: 0.0, late_ms: 1.0, spread_ms: 10.0, liars: 0, accused: 1 }
+    }
+}
+
 /// Servers that are alike.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -312,6 +337,18 @@
         ] {
             must(within(value, 0.0, most), format!("{name}: {value}: 0 to {most}"));
         }
+        if let Some(m) = &self.messages {
+            let all: u32 = self.servers.iter().map(|s| s.count).fold(0, u32::saturating_add);
+            must(within(m.lost, 0.0, 1.0), format!("messages.lost: {}: 0 to 1", m.lost));
+            for (name, value) in [("late_ms", m.late_ms), ("spread_ms", m.spread_ms)] {
+                must(within(value, 0.0, 600_000.0), format!("messages.{name}: {value}: 0 to 600000"));
+            }
+            must(m.liars <= self.nodes, format!("messages.liars: {}: 0 to nodes", m.liars));
+            must(
+                m.liars == 0 || m.accused < all,
+                format!("messages.accused: {}: a server's number", m.accused),
+            );
+        }
         for (n, s) in self.servers.iter().enumerate() {
             let at = format!("servers[{n}]");
             must((1..=10_000).contains(&s.count), format!("{at}.count: {}: 1 to 10000", s.count));
--- a/crates/measure/src/blame.rs
+++ b/crates/measure/src/blame.rs
@@ -2,7 +2,7 @@
 //! bids are served, after how many failures the culprit is named, how long bids take to be well again, and what trials cost.
 
 mod black;
-mod chart;
+pub mod chart;
 mod worlds;
 
 use crate::request::{self, CLIENTS, KEYS};
@@ -206,7 +206,7 @@
     if let Some(file) = svg {
         let over_time = (0..TROUBLE + AFTER).map(|s| bids.share(s, s + 1)).collect();
         lines.push(("cut 50%, off".to_owned(), over_time));
-        chart::draw(file, &lines, TROUBLE)?;
+        chart::draw(file, ["bids served, by second", "part of those due"], &lines, TROUBLE)?;
     }
 
     let mut left = [0, 0];
--- a/crates/measure/src/blame/chart.rs
+++ b/crates/measure/src/blame/chart.rs
@@ -1,4 +1,4 @@
-//! Bids served over time, a line for each kind of trouble.
+//! Parts over time, a line for each kind of trouble or world.
 
 use plotters::prelude::*;
 use std::error::Error;
@@ -6,26 +6,26 @@
 
 const SIZE: (u32, u32) = (960, 480);
 
-/// Draws it; trouble ends with second `end`.
+/// Draws them; a stroke stands at second `end`.
 ///
 /// # Errors
 /// The file cannot be written.
-pub fn draw(file: &Path, lines: &[(String, Vec<f64>)], end: usize) -> Result<(), Box<dyn Error>> {
+pub fn draw(
+    file: &Path,
+    [caption, part]: [&str; 2],
+    lines: &[(String, Vec<f64>)],
+    end: usize,
+) -> Result<(), Box<dyn Error>> {
     let longest = lines.iter().map(|(_, l)| l.len()).max().unwrap_or(1);
     let area = SVGBackend::new(file, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
-        .caption("bids served, by second", ("sans-serif", 20))
+        .caption(caption, ("sans-serif", 20))
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(48)
         .build_cartesian_2d(0.0..longest as f64, 0.0..1.05)?;
-    chart
-        .configure_mesh()
-        .light_line_style(TRANSPARENT)
-        .x_desc("seconds")
-        .y_desc("part of those due")
-        .draw()?;
+    chart.configure_mesh().light_line_style(TRANSPARENT).x_desc("seconds").y_desc(part).draw()?;
     chart.draw_series(LineSeries::new([(end as f64, 0.0), (end as f64, 1.05)], BLACK.mix(0.4)))?;
     for (n, (name, line)) in lines.iter().enumerate() {
         let colour = Palette99::pick(n).to_rgba();
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod acme;
 mod blame;
 mod fleet;
+mod gossip;
 mod lab;
 mod request;
 mod routes;
@@ -37,7 +38,8 @@
     /// And play it against the real binary, ten times as slow: a node, clients and backends on loopback.
     #[arg(long, requires = "story")]
     real: bool,
-    /// And draw it: an ordering as a sequence chart, bids over time for `blame`, or a fresh server's load for `fleet`.
+    /// And draw it: an ordering as a sequence chart, bids over time for `blame`, a fresh server's load for `fleet`, bids
+    /// lost for `gossip`.
     #[arg(long, value_name = "FILE")]
     svg: Option<PathBuf>,
     /// How large: 1 takes seconds; 10 is the full size.
@@ -53,6 +55,9 @@
     Blame,
     /// Fleet: nodes that tell each other that they are there, round a server that has just started, in every hard case.
     Fleet,
+    /// Gossip: a server that answers with errors, and how soon a large fleet knows it, with and without messages, some of
+    /// them lost and some nodes lying.
+    Gossip,
     /// Lab: how fast worlds are played, whether one seed is one run, and how far a small world agrees with real processes.
     Lab,
     /// Request: what one costs the node, beside a bare relay, and whether that grows with what the node holds.
@@ -139,6 +144,7 @@
         (Some(Name::Acme), _) => acme::measure(cli.scale),
         (Some(Name::Blame), _) => blame::measure(cli.scale, cli.svg.as_deref()),
         (Some(Name::Fleet), _) => fleet::measure(cli.scale, cli.svg.as_deref()),
+        (Some(Name::Gossip), _) => gossip::measure(cli.scale, cli.svg.as_deref()),
         (Some(Name::Lab), _) => lab::measure(cli.scale),
         (Some(Name::Request), _) => request::measure(cli.scale),
         (Some(Name::Routes), _) => routes::measure(cli.scale),
