--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -5,9 +5,9 @@
 //! never passed on, so it can't come back as news, and of each node only the latest claim on a server counts. Claims say
 //! that a call went badly or well; well is told only of servers that are accused, since nobody asks after the others.
 //!
-//! Hearing is evidence and no order. A server is **ill** when enough distinct nodes say so, more than say the opposite, and
-//! when this node has not just been served there itself: so a few liars, or a part of the fleet behind a broken link, do
-//! not close what others are served by, and those go on telling it.
+//! Hearing is evidence and no order. A server is **ill** when enough distinct nodes say so and no more say the opposite, this
+//! node's own calls being one voice among them. Who listens to whom on which server follows from their numbers, so that a
+//! few liars who tell everybody are heard by no more than others, and not by the same nodes for each server.
 //!
 //! Left to others: what counts as bad and what an ill server still gets (the decisions), and datagrams (the host).
 
