Review: a failed upgrade leaves no node, and what was taken meanwhile is lost

Cause: the new process binds its admin and hand-over sockets after the old node has let go. A path that cannot be made ends the new process, while the old one drains and ends.

The case changes `[node] admin` to a path in a missing folder, which `applemill check` accepts, and runs `applemill upgrade` under a light load of bids. Nothing is fixed.

--- /dev/null
+++ b/review/rig/src/main.rs
@@ -0,0 +1,33 @@
+//! The cases of the review. `review-rig CASE ROOT FOLDER` plays one: it starts the project's programs from
+//! ROOT as processes, writes FOLDER/record.txt, and exits with 1 if the rule was broken, 0 if it held, and 2 if
+//! the case could not run. With TROUBLE=0 in the environment it does the same without the disruption.
+
+mod rig;
+mod upgrade;
+
+use rig::Rig;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, root, folder] = &arguments[..] else {
+        eprintln!("usage: review-rig CASE ROOT FOLDER");
+        std::process::exit(2);
+    };
+    let play = match case.as_str() {
+        "upgrade" => upgrade::play,
+        _ => {
+            eprintln!("no case {case}");
+            std::process::exit(2);
+        }
+    };
+    let rig = Rig::new(root, folder);
+    let code = match play(&rig) {
+        Ok(true) => 1,
+        Ok(false) => 0,
+        Err(why) => {
+            rig.say(&format!("could not run: {why}"));
+            2
+        }
+    };
+    rig.end(code);
+}
