Review: a download is cut at its end when its client pauses for longer than 2.2 s

Cause: the connection counts as idle once hyper has taken the last piece of the body into its own buffer; after the idle time-out it is closed with what the socket has not taken yet.

The case starts 24 downloads of about 4 MB whose clients read nothing for 4 s behind the head, where the route's window is 8 s. Nothing is fixed.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! ROOT as processes, writes FOLDER/record.txt, and exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run. With TROUBLE=0 in the environment it does the same without the disruption.
 
+mod download;
 mod repeat;
 mod rig;
 mod upgrade;
@@ -17,6 +18,7 @@
     let play = match case.as_str() {
         "upgrade" => upgrade::play,
         "repeat" => repeat::play,
+        "download" => download::play,
         _ => {
             eprintln!("no case {case}");
             std::process::exit(2);
