Review: some of the downloads that are cut look whole to their clients

The case of the cut downloads now has clients of HTTP/1.0 too, to whom the server's chunks come without an end of their own.

--- a/review/rig/src/download.rs
+++ b/review/rig/src/download.rs
@@ -10,16 +10,16 @@
 /// The pause of a client behind the head; the route's window is 8 s.
 const PAUSE: Duration = Duration::from_secs(4);
 /// Sizes of the downloads: from this much under what a connection holds, in these steps.
-const BELOW: usize = 64 * 1024;
+const BELOW: usize = 128 * 1024;
 const STEP: usize = 8 * 1024;
-const DOWNLOADS: usize = 24;
+const DOWNLOADS: usize = 32;
 /// Larger than what any connection holds.
 const LARGE: usize = 64 * 1024 * 1024;
 
 /// How many bytes of each answer the server has written, by the request's path.
 type Written = Arc<Mutex<HashMap<String, usize>>>;
 
-/// A server of catalogues: `/catalogues/SIZE/N` has so many bytes.
+/// A server of catalogues: `/catalogues/SIZE/N` has so many bytes. An odd N is answered in chunks.
 fn start_server(written: &Written) -> Result<SocketAddr, String> {
     let written = written.clone();
     listen(move |mut stream| {
@@ -27,14 +27,27 @@
         while let Ok(Some((head, _))) = read_head(&mut stream) {
             let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
             let size: usize = path.split('/').nth(2).and_then(|s| s.parse().ok()).unwrap_or(0);
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let chunked = is_chunked(&path);
+            let framing = if chunked {
+                "Transfer-Encoding: chunked".into()
+            } else {
+                format!("Content-Length: {size}")
+            };
+            if stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).is_err() {
                 return;
             }
             let mut sent = 0;
             while sent < size {
                 let next = part.len().min(size - sent);
-                if stream.write_all(&part[..next]).is_err() {
+                let mut bytes = Vec::new();
+                if chunked {
+                    bytes.extend_from_slice(format!("{next:x}\r\n").as_bytes());
+                }
+                bytes.extend_from_slice(&part[..next]);
+                if chunked {
+                    bytes.extend_from_slice(if sent + next == size { b"\r\n0\r\n\r\n" } else { b"\r\n" });
+                }
+                if stream.write_all(&bytes).is_err() {
                     return;
                 }
                 sent += next;
@@ -44,18 +57,26 @@
     })
 }
 
+/// Whether the server answers in chunks, to a client of HTTP/1.0: the end of its connection is then the only
+/// end that the client sees.
+fn is_chunked(path: &str) -> bool {
+    path.split('/').nth(3).and_then(|n| n.parse::<usize>().ok()).is_some_and(|n| n % 2 == 1)
+}
+
 /// A download that has begun.
 struct Download {
     stream: TcpStream,
     status: u16,
-    length: usize,
+    /// The length that the client was told.
+    length: Option<usize>,
     got: usize,
 }
 
 fn begin(node: SocketAddr, path: &str) -> Result<Download, String> {
     let mut stream = TcpStream::connect(node).map_err(|e| e.to_string())?;
     let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-    let request = format!("GET {path} HTTP/1.1\r\nHost: auction.lv\r\n\r\n");
+    let version = if is_chunked(path) { "1.0" } else { "1.1" };
+    let request = format!("GET {path} HTTP/{version}\r\nHost: auction.lv\r\n\r\n");
     stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
     let mut bytes = Vec::new();
     loop {
@@ -66,7 +87,7 @@
             Err(e) => return Err(e.to_string()),
         }
         if let Some((head, begin)) = split_head(&bytes) {
-            let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+            let length = header(&head, "content-length").and_then(|v| v.parse().ok());
             return Ok(Download { stream, status: status(&head), length, got: bytes.len() - begin });
         }
     }
@@ -76,7 +97,8 @@
 /// system's list of connections and changes nothing.
 fn held_by_system(node: u16, client: u16) -> usize {
     let list = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let port = |field: &str| u16::from_str_radix(field.rsplit(':').next().unwrap_or_default(), 16).unwrap_or(0);
+    let port =
+        |field: &str| u16::from_str_radix(field.rsplit(':').next().unwrap_or_default(), 16).unwrap_or(0);
     let mut held = 0;
     for line in list.lines().skip(1) {
         let fields: Vec<&str> = line.split_whitespace().collect();
@@ -111,8 +133,20 @@
     Ok(room)
 }
 
-/// Plays one client; true if its answer had begun and was cut.
-fn client(rig: &Rig, node: SocketAddr, path: &str, size: usize, written: &Written) -> Result<bool, String> {
+/// How a download ended.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Whole,
+    /// Cut, and its client sees that.
+    Cut,
+    /// Cut, and its client takes it for whole.
+    CutUnseen,
+    /// Cut, but its server had not written all.
+    ByServer,
+}
+
+/// Plays one client.
+fn client(rig: &Rig, node: SocketAddr, path: &str, size: usize, written: &Written) -> Result<End, String> {
     let begun = Instant::now();
     let mut download = loop {
         let download = begin(node, path)?;
@@ -129,24 +163,30 @@
         std::thread::sleep(PAUSE);
     }
     let mut buffer = vec![0; 64 * 1024];
-    let end = loop {
-        if download.got >= download.length {
-            break "whole".to_owned();
+    let error = loop {
+        if download.length.is_some_and(|length| download.got >= length) {
+            break None;
         }
         match download.stream.read(&mut buffer) {
-            Ok(0) => break "cut: the connection was closed".to_owned(),
+            Ok(0) => break None,
             Ok(n) => download.got += n,
-            Err(e) => break format!("cut: {e}"),
+            Err(e) => break Some(e),
         }
     };
     let by_server = written.lock().unwrap().get(path).copied().unwrap_or(0);
+    let (end, text) = match error {
+        _ if download.got == size => (End::Whole, "whole".to_owned()),
+        _ if by_server < size => (End::ByServer, "cut, and the server has not written all".to_owned()),
+        Some(e) => (End::Cut, format!("cut: {e}")),
+        None if download.length.is_some() => (End::Cut, "cut: the connection was closed".to_owned()),
+        None => (End::CutUnseen, "cut: the connection was closed as if this were all".to_owned()),
+    };
     rig.say(&format!(
-        "client: {path}: {} of {} bytes after {:.2} s, {end}; the server has written {by_server}",
+        "client: {path}: {} of {size} bytes after {:.2} s, {text}; the server has written {by_server}",
         download.got,
-        download.length,
         begun.elapsed().as_secs_f64()
     ));
-    Ok(download.got < download.length && by_server == size)
+    Ok(end)
 }
 
 pub fn play(rig: &Rig) -> Outcome {
@@ -173,17 +213,23 @@
             })
         })
         .collect();
-    let (mut whole, mut cut) = (0, 0);
+    let mut ends = Vec::new();
     for client in clients {
         match client.join().map_err(|_| "a client ended early")? {
-            Ok(true) => cut += 1,
-            Ok(false) => whole += 1,
+            Ok(end) => ends.push(end),
             Err(why) => rig.say(&format!("client: no download: {why}")),
         }
     }
-    rig.say(&format!("{whole} downloads came whole, {cut} were cut though their servers had written all"));
-    if whole + cut < DOWNLOADS / 2 {
+    let count = |wanted: End| ends.iter().filter(|end| **end == wanted).count();
+    let (seen, unseen) = (count(End::Cut), count(End::CutUnseen));
+    rig.say(&format!(
+        "{} downloads came whole; {} were cut though their servers had written all, {unseen} of them with an end \
+         that looks whole",
+        count(End::Whole),
+        seen + unseen
+    ));
+    if ends.len() < DOWNLOADS / 2 {
         return Err("too few downloads began".into());
     }
-    Ok(cut > 0)
+    Ok(seen + unseen > 0)
 }
--- a/review/rig/src/repeat.rs
+++ b/review/rig/src/repeat.rs
@@ -56,7 +56,8 @@
         }
         if got == length {
             floor.last_byte = Some(now);
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+            let _ =
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
         }
     })
 }
@@ -76,7 +77,8 @@
             return;
         }
         let is_first = !used.swap(true, Ordering::SeqCst);
-        let pairs = (near.try_clone().and_then(|n| Ok((n, far.try_clone()?))), near.try_clone(), far.try_clone());
+        let pairs =
+            (near.try_clone().and_then(|n| Ok((n, far.try_clone()?))), near.try_clone(), far.try_clone());
         let (Ok((n1, f1)), Ok(n2), Ok(f2)) = pairs else { return };
         std::thread::spawn(move || copy(n1, f1));
         std::thread::spawn(move || copy(f2, n2));
