--- a/review/rig/src/rig.rs
+++ b/review/rig/src/rig.rs
@@ -93,6 +93,25 @@
         Ok(pid)
     }
 
+    /// Starts a node by the deploy file's `run`, on the platform's configuration.
+    pub fn start_platform_node(
+        &self,
+        file: &Path,
+        listens: SocketAddr,
+        discovery: SocketAddr,
+    ) -> Result<u32, String> {
+        let log = File::create(self.temporary("node.log")).map_err(|e| e.to_string())?;
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "exec target/release/applemill"]).current_dir(&self.0.root);
+        command.env_remove("LB_OPERATOR").env("LB_CONFIG", file).env("LB_NAME", "n0");
+        command.env("LB_LISTEN", listens.to_string()).env("LB_DISCOVERY", discovery.to_string());
+        let child = command.stdin(Stdio::null()).stderr(log).spawn().map_err(|e| e.to_string())?;
+        let pid = child.id();
+        self.say(&format!("node started by 'exec target/release/applemill', process {pid}"));
+        self.0.children.lock().unwrap().push(child);
+        Ok(pid)
+    }
+
     /// Runs a command of the project's program to its end; returns its exit code and its output.
     pub fn command(&self, arguments: &[&str]) -> Result<(i32, String), String> {
         let mut command = Command::new(self.0.root.join("target/release/applemill"));
