--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -1,9 +1,13 @@
 //! The cases of the review. `review-rig CASE ROOT FOLDER` plays one: it starts the project's programs from
 //! ROOT as processes, writes FOLDER/record.txt, and exits with 1 if the rule was broken, 0 if it held, and 2 if
-//! the case could not run. `download` is a trial that is no case, see REPORT.md. With TROUBLE=0 in the environment it does the same without the disruption.
+//! the case could not run. With TROUBLE=0 in the environment it does the same without the disruption. `download`,
+//! `gone` and `lengthless` are trials that are no cases, see REPORT.md.
 
 mod download;
 mod drain;
+mod gone;
+mod lengthless;
+mod platform;
 mod repeat;
 mod rig;
 mod upgrade;
@@ -19,6 +23,8 @@
     let play = match case.as_str() {
         "upgrade" => upgrade::play,
         "repeat" => repeat::play,
+        "gone" => gone::play,
+        "lengthless" => lengthless::play,
         "drain" => drain::play,
         "download" => download::play,
         _ => {
