--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -33,7 +33,9 @@
         }
     };
     let rig = Rig::new(root, folder);
-    let code = match play(&rig) {
+    // A panic must not leave processes behind.
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(&rig)));
+    let code = match played.unwrap_or_else(|_| Err("the rig has panicked".into())) {
         Ok(true) => 1,
         Ok(false) => 0,
         Err(why) => {
--- a/review/rig/src/rig.rs
+++ b/review/rig/src/rig.rs
@@ -158,6 +158,11 @@
             let command_line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
             if String::from_utf8_lossy(&command_line).contains("applemill") {
                 let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {pid}")]).status();
+                // It is not this program's child: wait until the system has removed it.
+                let until = Instant::now() + Duration::from_secs(5);
+                while Path::new(&format!("/proc/{pid}")).exists() && Instant::now() < until {
+                    std::thread::sleep(Duration::from_millis(10));
+                }
             }
         }
         for mut child in self.0.children.lock().unwrap().drain(..) {
