--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -1,7 +1,7 @@
 //! The cases of the review. `review-rig CASE ROOT FOLDER` plays one: it starts the project's programs from
 //! ROOT as processes, writes FOLDER/record.txt, and exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run. With TROUBLE=0 in the environment it does the same without the disruption. `download`,
-//! `gone` and `lengthless` are trials that are no cases, see REPORT.md.
+//! `gone`, `lengthless` and `slowly` are trials that are no cases, see REPORT.md.
 
 mod download;
 mod drain;
@@ -10,6 +10,7 @@
 mod platform;
 mod repeat;
 mod rig;
+mod slowly;
 mod upgrade;
 
 use rig::Rig;
@@ -25,6 +26,7 @@
         "repeat" => repeat::play,
         "gone" => gone::play,
         "lengthless" => lengthless::play,
+        "slowly" => slowly::play,
         "drain" => drain::play,
         "download" => download::play,
         _ => {
