--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -120,12 +120,23 @@
 impl Node {
     /// Starts the deploy file's `run` on an operator's file.
     pub fn start(file: &Path, log: PathBuf) -> Result<Node, String> {
+        Node::start_by("LB_OPERATOR", file, log)
+    }
+
+    /// Starts the deploy file's `run` on the platform's configuration.
+    pub fn start_on_platform(config: &Path, log: PathBuf) -> Result<Node, String> {
+        Node::start_by("LB_CONFIG", config, log)
+    }
+
+    fn start_by(variable: &str, file: &Path, log: PathBuf) -> Result<Node, String> {
         let output = File::create(&log).map_err(|e| e.to_string())?;
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()])
             .current_dir(project_root())
-            .env("LB_OPERATOR", file)
             .env_remove("LB_CONFIG")
+            .env_remove("LB_OPERATOR")
+            .env_remove("LB_DISCOVERY")
+            .env(variable, file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(output)
@@ -190,7 +201,8 @@
 
 /// Notes a process in the file that `PROCESS_FILE` names: the script ends what a broken-off case leaves.
 fn note_process(process: u32) {
-    let file = std::env::var_os("PROCESS_FILE").map(|path| File::options().append(true).create(true).open(path));
+    let file =
+        std::env::var_os("PROCESS_FILE").map(|path| File::options().append(true).create(true).open(path));
     if let Some(Ok(mut file)) = file {
         let _ = writeln!(file, "{process}");
     }
