--- a/review/rig-2/src/bin/cut-download.rs
+++ b/review/rig-2/src/bin/cut-download.rs
@@ -113,7 +113,9 @@
         ));
         begun += usize::from(status == 200 && !has_length);
         if status == 200 && !has_length && ended_in_order && bytes < CATALOGUE_BYTES {
-            breaks.push(format!("client {number} has {bytes} of {CATALOGUE_BYTES} bytes, and they look whole"));
+            breaks.push(format!(
+                "client {number} has {bytes} of {CATALOGUE_BYTES} bytes, and they look whole"
+            ));
         }
         if !trouble() && bytes < CATALOGUE_BYTES {
             breaks.push(format!("client {number} has {bytes} of {CATALOGUE_BYTES} bytes, without a stop"));
--- a/review/rig-2/src/bin/moved-listener.rs
+++ b/review/rig-2/src/bin/moved-listener.rs
@@ -75,7 +75,9 @@
         let began = Instant::now();
         match ask_once(address) {
             End::Answered(200) => answered += 1,
-            End::Answered(status) => record.line(format!("client {number}: request {asked} answered {status}")),
+            End::Answered(status) => {
+                record.line(format!("client {number}: request {asked} answered {status}"))
+            }
             End::NotTaken(why) => record.line(format!("client {number}: request {asked} not taken: {why}")),
             End::Lost(why) => {
                 let after_ms = began.elapsed().as_millis();
@@ -107,7 +109,10 @@
     thread::sleep(Duration::from_secs(1));
     let second = if trouble() { new_houses } else { houses };
     folder.put("operator.toml", &file(&folder, [web, second], server));
-    record.line(format!("applemill upgrade; the second listener {}", if trouble() { "moves" } else { "stays" }));
+    record.line(format!(
+        "applemill upgrade; the second listener {}",
+        if trouble() { "moves" } else { "stays" }
+    ));
     let arguments = ["upgrade", "--config", &path.display().to_string()];
     let code = run_program(&arguments, &folder.path("upgrade.log"))?;
     record.line(format!("applemill upgrade ended with {code:?}"));
--- a/review/rig-2/src/bin/other-zone.rs
+++ b/review/rig-2/src/bin/other-zone.rs
@@ -22,7 +22,13 @@
 
 /// A server that drops the repeats of a key that its zone has run. It breaks the connection of some first attempts
 /// after it has run them.
-fn server(name: String, zone: &'static str, runs: Runs, seen: Arc<AtomicUsize>, record: Record) -> SocketAddr {
+fn server(
+    name: String,
+    zone: &'static str,
+    runs: Runs,
+    seen: Arc<AtomicUsize>,
+    record: Record,
+) -> SocketAddr {
     serve(move |mut stream| {
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = Head::read(&mut reader)? {
@@ -124,7 +130,9 @@
     }
     let runs = runs.lock().unwrap();
     let twice = runs.iter().filter(|(_, zones)| zones.len() > 1);
-    Ok(twice.map(|(key, zones)| format!("keyed {key} ran {} times, in {}", zones.len(), zones.join(" and "))).collect())
+    Ok(twice
+        .map(|(key, zones)| format!("keyed {key} ran {} times, in {}", zones.len(), zones.join(" and ")))
+        .collect())
 }
 
 fn main() -> ExitCode {
--- a/review/rig-2/src/bin/part-of-upload.rs
+++ b/review/rig-2/src/bin/part-of-upload.rs
@@ -36,7 +36,8 @@
                 *count += 1;
                 *count - 1
             };
-            record.line(format!("server {number}: acts on the part of {id} that came ({PART_BYTES} bytes)"));
+            record
+                .line(format!("server {number}: acts on the part of {id} that came ({PART_BYTES} bytes)"));
             if earlier == 0 {
                 record.line(format!("server {number}: breaks the connection of {id}"));
                 return stream.shutdown(std::net::Shutdown::Both);
--- a/review/rig-2/src/bin/removed-authority.rs
+++ b/review/rig-2/src/bin/removed-authority.rs
@@ -75,8 +75,7 @@
     folder.put("a.key", &key);
     folder.put("houses.pem", &format!("{}{}", north.root(), south.root()));
     let listeners = Listeners { houses: free_address(), plain: free_address() };
-    let manner =
-        Manner { life: 90 * DAY_S, nodes: vec![(listeners.plain, listeners.houses)], bound: None };
+    let manner = Manner { life: 90 * DAY_S, nodes: vec![(listeners.plain, listeners.houses)], bound: None };
     let authority = Authority::start(manner).map_err(|e| e.to_string())?;
     folder.put("root.pem", &authority.root());
     let asked = Arc::new(AtomicUsize::new(0));
@@ -112,7 +111,9 @@
         let status = bid(&north_client, listeners.houses, &format!("north-{number}"));
         record.line(format!("client north: {status:?}, {after:.1} s after the change"));
         if let Some(status) = status {
-            breaks.push(format!("north was let in {after:.1} s after it was taken out, and answered {status}"));
+            breaks.push(format!(
+                "north was let in {after:.1} s after it was taken out, and answered {status}"
+            ));
         }
         if bid(&south_client, listeners.houses, &format!("south-{number}")) != Some(200) {
             return Err("south is not served".to_owned());
--- a/review/rig-2/src/bin/stopped-readers.rs
+++ b/review/rig-2/src/bin/stopped-readers.rs
@@ -81,7 +81,9 @@
 /// Sends a bid on a new connection. An error is a bid that was written whole and has no answer in time.
 fn bid(address: SocketAddr) -> std::io::Result<u16> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
-    stream.write_all(b"POST /bid HTTP/1.1\r\nHost: a.lv\r\nContent-Length: 3\r\nConnection: close\r\n\r\n100")?;
+    stream.write_all(
+        b"POST /bid HTTP/1.1\r\nHost: a.lv\r\nContent-Length: 3\r\nConnection: close\r\n\r\n100",
+    )?;
     stream.set_read_timeout(Some(BID_ANSWERED_WITHIN))?;
     read_answer(&mut BufReader::new(stream)).map(|answer| answer.status)
 }
@@ -112,9 +114,14 @@
         match bid(listen) {
             Ok(200 | 503) => answered += 1,
             Ok(status) => record.line(format!("a bid answered {status}")),
-            Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused) => record.line("a bid found no listener"),
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused) => {
+                record.line("a bid found no listener")
+            }
             Err(e) => {
-                let text = format!("a bid written whole has no answer after {BID_ANSWERED_WITHIN:?}: {}", e.kind());
+                let text = format!(
+                    "a bid written whole has no answer after {BID_ANSWERED_WITHIN:?}: {}",
+                    e.kind()
+                );
                 record.line(&text);
                 breaks.push(text);
             }
