Review, case 10: a node that starts in an outage of discovery serves a server that drains

Cause: a new process serves from the list that it last had until its agent answers. What the agent had before the outage counts as told from the process's first moment, and bids begin at a server that drains.

Change: review/10 is this case now, as it has a plainer rule than the outage with lists that are asked for, whose program asked-discovery stays in the rig. What both share is in a module of its own. Nothing is fixed.

--- a/review/rig-2/src/bin/asked-discovery.rs
+++ b/review/rig-2/src/bin/asked-discovery.rs
@@ -1,9 +1,9 @@
 //! Lists are asked for. Discovery is down for some seconds, is crowded at its return, and has a server that begins to
 //! drain. Nothing new may go there later than 6 s and the grace after discovery had that and could be reached.
 
+use review_cases_2::platform::{Lists, Server, bid_on, config, server};
 use review_cases_2::*;
-use std::hash::{BuildHasher, RandomState};
-use std::io::{BufReader, ErrorKind, Write};
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
@@ -15,8 +15,6 @@
 const SERVERS: usize = 4;
 /// The server that leaves.
 const LEAVING: usize = 1;
-/// How long a server works on a bid.
-const WORK: Duration = Duration::from_millis(40);
 /// Discovery goes down so long after the start.
 const DOWN_AFTER: Duration = Duration::from_secs(3);
 /// It is back right after the first call that fails so long after that.
@@ -32,7 +30,6 @@
 const ENDS_AFTER: Duration = Duration::from_millis(6_900);
 /// Clients of each node.
 const CLIENTS: usize = 4;
-const BID_PAUSE: Duration = Duration::from_millis(40);
 
 /// What discovery has, and in which state it is.
 #[derive(Default)]
@@ -147,104 +144,6 @@
     }
 }
 
-/// A server's doings: when bids began, and whether it has ended.
-#[derive(Default)]
-struct Server {
-    begun: Mutex<Vec<Instant>>,
-    ended: AtomicBool,
-}
-
-fn server(state: Arc<Server>) -> SocketAddr {
-    serve(move |mut stream| {
-        stream.set_read_timeout(Some(Duration::from_millis(20)))?;
-        let mut reader = BufReader::new(stream.try_clone()?);
-        let mut first = [0];
-        loop {
-            if state.ended.load(SeqCst) {
-                return Ok(());
-            }
-            // For drains a request counts from its first byte.
-            match stream.peek(&mut first) {
-                Ok(0) => return Ok(()),
-                Ok(_) => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
-                Err(e) => return Err(e),
-            }
-            let began = Instant::now();
-            let Some(head) = Head::read(&mut reader)? else { return Ok(()) };
-            skip(&mut reader, head.length())?;
-            if head.path().starts_with("/api") {
-                state.begun.lock().unwrap().push(began);
-                thread::sleep(WORK);
-                if state.ended.load(SeqCst) {
-                    return Ok(());
-                }
-            }
-            write_ok(&mut stream, "sold")?;
-        }
-    })
-}
-
-/// Sends bids on one connection until told to end; counts those answered 200, refused, and failed.
-fn bid_on(
-    address: SocketAddr,
-    client: usize,
-    end: &AtomicBool,
-    counts: &[AtomicUsize; 3],
-    record: &Record,
-) {
-    let mut number = 0;
-    while !end.load(SeqCst) {
-        let Ok(mut stream) = TcpStream::connect(address) else { continue };
-        let _ = stream.set_read_timeout(Some(Duration::from_millis(1_500)));
-        let Ok(copy) = stream.try_clone() else { continue };
-        let mut reader = BufReader::new(copy);
-        while !end.load(SeqCst) {
-            number += 1;
-            let request = format!(
-                "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {client:04x}{number:012x}\r\nX-Qos: bid\r\n\
-                 X-Expires-In-Ms: 900\r\nContent-Length: 3\r\n\r\n100"
-            );
-            if stream.write_all(request.as_bytes()).is_err() {
-                break;
-            }
-            let Ok(answer) = read_answer(&mut reader) else {
-                record.line(format!("client {client}: bid {number} has no answer"));
-                counts[2].fetch_add(1, SeqCst);
-                break;
-            };
-            let kind = match answer.status {
-                200 => 0,
-                429 | 503 => 1,
-                status => {
-                    record.line(format!("client {client}: bid {number} answered {status}"));
-                    2
-                }
-            };
-            counts[kind].fetch_add(1, SeqCst);
-            thread::sleep(BID_PAUSE);
-        }
-    }
-}
-
-fn config(number: usize, listen: SocketAddr, discovery: SocketAddr) -> String {
-    // New with each start, as the platform has it.
-    let seed = RandomState::new().hash_one(number);
-    format!(
-        "{{\"name\":\"n{number}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed:016x}\",\
-         \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
-         \"known\":{{\"rev\":0,\"all\":true,\"targets\":[]}},\"settings\":{{\
-         \"areas\":[\"a\",\"b\"],\"zone\":\"a\",\"instances\":{NODES},\"slotNo\":{number},\"tickMs\":5.0,\
-         \"membershipMode\":\"on_request\",\
-         \"classes\":[{{\"name\":\"bid\",\"semantics\":\"at_most_once\",\"objectiveMs\":500,\"hardLimitMs\":900,\"value\":10}}],\
-         \"limits\":{{\"attemptsCap\":4,\"connIdleMs\":15000.0,\"connectTimeoutMs\":300.0,\"mayCancel\":true,\
-         \"maxRetryAfterMs\":2000.0,\"maxStreams\":1,\"openCap\":20000,\"peerMessages\":false,\"probing\":false,\
-         \"retryAfter\":true,\"secondCopies\":true}},\
-         \"rules\":{{\"coldMs\":22000.0,\"startCapacity\":0.14,\"fallMultiple\":3.0,\"fallMs\":1500.0,\
-         \"drainGraceMs\":500.0,\"mustAskInMs\":10000.0}}}}}}"
-    )
-}
-
 fn run(record: &Record) -> Result<Vec<String>, String> {
     let folder = Folder::create("asked");
     let servers: Vec<Arc<Server>> = (0..SERVERS).map(|_| Arc::default()).collect();
@@ -254,10 +153,12 @@
         Arc::new(Discovery { started, state: Mutex::default(), addresses, record: record.clone() });
     let handler = discovery.clone();
     let address = serve(move |stream| handler.handle(stream));
+    let known = "{\"rev\":0,\"all\":true,\"targets\":[]}";
+    let lists = Lists { mode: "on_request", discovery: address, known };
     let mut nodes = Vec::new();
     for number in 0..NODES {
         let listen = free_address();
-        let file = folder.put(&format!("config-{number}.json"), &config(number, listen, address));
+        let file = folder.put(&format!("config-{number}.json"), &config(number, NODES, listen, &lists));
         let node = Node::start_on_platform(&file, folder.path(&format!("node-{number}.log")))?;
         node.wait_until_ready(listen)?;
         nodes.push((node, listen));
--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -1,5 +1,7 @@
 //! What the cases share: the record, the node's process, and small HTTP clients and servers on loopback.
 
+pub mod platform;
+
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
