Keep repeats in their zone where discovery names the zones, and in no unknown group

Cause: a zone was its position in the list of zones that the file names. Zones that only discovery names were not in it, and all shared the number 65535. Entries without a cell shared cell 0 in the same way, and fractions of cells were cut off.

Change: a zone is identified by a hash of its name (`ZoneId`); an unknown zone or cell is none, and two servers without one share no group. `Names` and `pool_settings` no longer need a list of zones, so that a reload may name a new one. Tests that wrote zones and cells as numbers write the new types, with the same checks.

--- a/crates/balancer/src/balancer/backend.rs
+++ b/crates/balancer/src/balancer/backend.rs
@@ -3,14 +3,14 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::fading_value::FadingValue;
 use super::failure_record::FailureRecord;
-use crate::interface::{BackendId, Settings};
+use crate::interface::{BackendId, Settings, ZoneId};
 
 /// What this node knows of one backend.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Backend {
     pub(super) id: BackendId,
-    pub(super) zone: u16,
-    pub(super) cell: u32,
+    pub(super) zone: Option<ZoneId>,
+    pub(super) cell: Option<u32>,
     /// Size relative to the other backends.
     pub(super) weight: f64,
     /// Listed and up. Sends to any other backend break the drain rule.
--- a/crates/balancer/src/balancer/backend_list.rs
+++ b/crates/balancer/src/balancer/backend_list.rs
@@ -94,7 +94,7 @@
     pub(super) fn rebuild_hash_entries(&mut self, now: f64) {
         let settings = &self.settings;
         let zone_weight = |b: &Backend| {
-            let other_zone = settings.zone.is_some_and(|zone| zone != b.zone);
+            let other_zone = settings.zone.is_some() && settings.zone != b.zone;
             if other_zone && settings.prices.cross_zone > 0.0 { OTHER_ZONE_WEIGHT } else { 1.0 }
         };
         let capacity = |b: &Backend| capacity_part(settings, now - b.cold_since_ms) * zone_weight(b);
--- a/crates/balancer/src/balancer/open_request.rs
+++ b/crates/balancer/src/balancer/open_request.rs
@@ -1,13 +1,13 @@
 //! Requests that are not over yet, and their attempts.
 
-use crate::interface::{BackendId, Outcome, Request, Settings};
+use crate::interface::{BackendId, Outcome, Request, Settings, ZoneId};
 
 /// An attempt of an open request, in flight or ended.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) backend: BackendId,
-    pub(super) zone: u16,
-    pub(super) cell: u32,
+    pub(super) zone: Option<ZoneId>,
+    pub(super) cell: Option<u32>,
     pub(super) sent_ms: f64,
     pub(super) timeout_ms: f64,
     pub(super) in_flight: bool,
--- a/crates/balancer/src/balancer/send_rules.rs
+++ b/crates/balancer/src/balancer/send_rules.rs
@@ -44,10 +44,16 @@
             Effect::Unsafe => return false,
             Effect::Safe => return class.route.retry_possibly_executed,
             Effect::Keyed(Group::All) => true,
-            Effect::Keyed(Group::Zone) => possibly_executed.zone == backend.zone,
-            Effect::Keyed(Group::Cell) => possibly_executed.cell == backend.cell,
+            Effect::Keyed(Group::Zone) => is_same_group(possibly_executed.zone, backend.zone),
+            Effect::Keyed(Group::Cell) => is_same_group(possibly_executed.cell, backend.cell),
         };
         let key_remembered = now < possibly_executed.sent_ms + class.key_ttl_ms;
         class.route.retry_possibly_executed && same_group && key_remembered
     }
 }
+
+/// Whether two backends are known to be in one group. A group that is not known is no group: which backends
+/// drop repeats there cannot be told.
+fn is_same_group<G: PartialEq>(first: Option<G>, second: Option<G>) -> bool {
+    first.is_some() && first == second
+}
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -37,6 +37,10 @@
     Cell,
 }
 
+/// A zone, identified by a hash of its name, which is the same on every node and in every list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ZoneId(pub u64);
+
 /// How the node receives the list of backends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
@@ -197,7 +201,7 @@
     /// Number of this node in the fleet, from 0.
     pub slot: u32,
     /// Zone of this node if it is known, to compare with [`Entry::zone`].
-    pub zone: Option<u16>,
+    pub zone: Option<ZoneId>,
     /// Meaning of [`Entry::units`].
     pub weights: Weights,
     /// How backends report their load.
@@ -345,10 +349,10 @@
 pub struct Entry {
     /// The backend.
     pub backend: BackendId,
-    /// Zone of the backend.
-    pub zone: u16,
-    /// Cell of the backend.
-    pub cell: u32,
+    /// Zone of the backend; none if it is not known.
+    pub zone: Option<ZoneId>,
+    /// Cell of the backend; none if it is not known.
+    pub cell: Option<u32>,
     /// Health of the backend.
     pub health: Health,
     /// Size relative to the other backends; [`Settings::weights`] gives the meaning.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -21,7 +21,7 @@
 //!
 //! // The list has one backend, which started long ago.
 //! let backend = BackendId(42);
-//! let entry = Entry { backend, zone: 0, cell: 0, health: Health::Up, units: 1.0, ready_at_ms: 0.0 };
+//! let entry = Entry { backend, zone: None, cell: None, health: Health::Up, units: 1.0, ready_at_ms: 0.0 };
 //! balancer.handle(0.0, Event::List { kind: ListKind::Full, entries: vec![entry] }, &mut actions);
 //!
 //! // A request arrives at 10 ms and is sent to it.
--- a/crates/balancer/src/wire.rs
+++ b/crates/balancer/src/wire.rs
@@ -3,7 +3,7 @@
 
 use crate::interface::{
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Goal, Group, Health, ListKind, Load,
-    Outcome, Prices, Reporting, Request, RequestId, RouteValues, Settings, Tenant, Weights,
+    Outcome, Prices, Reporting, Request, RequestId, RouteValues, Settings, Tenant, Weights, ZoneId,
 };
 use serde_json::Value;
 use std::collections::HashMap;
@@ -44,6 +44,11 @@
     hash ^ (hash >> 32)
 }
 
+/// The zone with this name; none without one.
+pub fn zone_id(name: &str) -> Option<ZoneId> {
+    (!name.is_empty()).then(|| ZoneId(stable_hash(name)))
+}
+
 /// One parsed line: the message's name and its fields.
 #[derive(Debug, Default)]
 pub struct Line<'a> {
@@ -107,7 +112,6 @@
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
-    zones: Vec<String>,
     backends: HashMap<BackendId, String>,
 }
 
@@ -132,13 +136,6 @@
         Names::index(&self.tenants, name)
     }
 
-    /// Number of a zone. All unknown zones share one number, that of a remote zone.
-    pub fn zone(&self, name: Option<&str>) -> u16 {
-        name.and_then(|name| Names::index(&self.zones, name))
-            .and_then(|index| u16::try_from(index).ok())
-            .unwrap_or(u16::MAX)
-    }
-
     fn backend_id(&mut self, name: &str) -> BackendId {
         let id = BackendId(stable_hash(name));
         self.backends.entry(id).or_insert_with(|| name.to_owned());
@@ -155,10 +152,10 @@
         };
         Ok(Entry {
             backend: self.backend_id(line.required("backend")?),
-            zone: self.zone(line.get("locality")),
+            zone: line.get("locality").and_then(zone_id),
             cell: match line.get("pod") {
-                Some(cell) => cell.parse().map_err(|_| invalid_field("pod", "not a whole number"))?,
-                None => 0,
+                Some(cell) => Some(cell.parse().map_err(|_| invalid_field("pod", "not a whole number"))?),
+                None => None,
             },
             health,
             units: line.optional_number("units")?.unwrap_or(1.0),
@@ -429,7 +426,8 @@
         return Err(invalid_field("config", "not an object"));
     }
     let number = |path: &str, default: f64| number_setting(&json, path, Some(default));
-    let zones: Vec<String> = list_setting(&json, "areas")?.iter().map(name_from_json).collect();
+    // Zones are identified by their names, so the list of them is only checked.
+    list_setting(&json, "areas")?;
     let worth_by_work = string_setting(&json, "worthBy")? == "work";
     let on_request = string_setting(&json, "membershipMode")? == "on_request";
     let settings = Settings {
@@ -457,8 +455,7 @@
         },
         instances: count_setting(&json, "instances", 1)?,
         slot: count_setting(&json, "slotNo", 0)?,
-        zone: Names::index(&zones, string_setting(&json, "zone")?)
-            .and_then(|index| u16::try_from(index).ok()),
+        zone: zone_id(string_setting(&json, "zone")?),
         weights: match string_setting(&json, "weights")? {
             "nominal" => Weights::Nominal,
             "rough" => Weights::Rough,
@@ -503,7 +500,6 @@
     let names = Names {
         classes: list_setting(&json, "classes")?.iter().map(name_from_json).collect(),
         tenants: list_setting(&json, "tenants")?.iter().map(name_from_json).collect(),
-        zones,
         backends: HashMap::new(),
     };
     Ok((settings, names))
--- a/crates/balancer/tests/behaviour.rs
+++ b/crates/balancer/tests/behaviour.rs
@@ -1263,10 +1263,16 @@
 fn remote_backends_are_chosen_less_often_if_crossing_zones_is_priced() {
     let remote = |cross_zone| {
         let prices = Prices { cross_zone, ..Prices::default() };
-        let mut world =
-            World::with_backends(Settings { zone: Some(0), prices, ..sparse_world(1).settings }, 1, 20);
+        let mut world = World::with_backends(
+            Settings { zone: Some(ZoneId(0)), prices, ..sparse_world(1).settings },
+            1,
+            20,
+        );
         (0..200)
-            .filter(|n| serve_key(&mut world, *n, |_| 0.3).is_some_and(|b| world.backends[&b].zone != 0))
+            .filter(|n| {
+                serve_key(&mut world, *n, |_| 0.3)
+                    .is_some_and(|b| world.backends[&b].zone != Some(ZoneId(0)))
+            })
             .count()
     };
     let (free, priced) = (remote(0.0), remote(0.05));
--- a/crates/balancer/tests/black_start.rs
+++ b/crates/balancer/tests/black_start.rs
@@ -93,8 +93,8 @@
 fn cold_entry(server: usize) -> Entry {
     Entry {
         backend: BackendId(server as u64 * ID_STEP + 1),
-        zone: 0,
-        cell: 0,
+        zone: None,
+        cell: None,
         health: Health::Up,
         units: 1.0,
         ready_at_ms: START_MS,
--- a/crates/balancer/tests/codec.rs
+++ b/crates/balancer/tests/codec.rs
@@ -1,6 +1,6 @@
 //! The codec with every message, and with lines that are truncated, reordered or too long.
 use applemill_balancer::interface::*;
-use applemill_balancer::wire::{Line, Names, WireError, parse_list_kind, settings};
+use applemill_balancer::wire::{Line, Names, WireError, parse_list_kind, settings, stable_hash};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -41,7 +41,7 @@
     assert!(settings.probes && !settings.may_cancel);
     assert_eq!(
         (settings.zone, settings.slot, settings.weights, settings.reporting),
-        (Some(1), 0, Weights::None, Reporting::None)
+        (Some(ZoneId(stable_hash("b"))), 0, Weights::None, Reporting::None)
     );
     assert!(
         !settings.late_shedding && settings.drain_close_ms.is_none(),
@@ -64,7 +64,7 @@
     let (settings, _) = settings(text).expect("valid settings");
     assert_eq!(
         (settings.zone, settings.slot, settings.weights, settings.reporting),
-        (Some(0), 4, Weights::Live, Reporting::Probes)
+        (Some(ZoneId(stable_hash("a"))), 4, Weights::Live, Reporting::Probes)
     );
     assert_eq!(
         (settings.goal.nines, settings.goal.full_at_nines, settings.classes[0].objective_stretch),
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -200,8 +200,8 @@
                         Effect::Keyed(group) => {
                             let same_group = match group {
                                 Group::All => true,
-                                Group::Zone => previous.zone == entry.zone,
-                                Group::Cell => previous.cell == entry.cell,
+                                Group::Zone => previous.zone.is_some() && previous.zone == entry.zone,
+                                Group::Cell => previous.cell.is_some() && previous.cell == entry.cell,
                             };
                             same_group
                                 && self.now_ms <= executed.sent_ms + class.map_or(0.0, |c| c.key_ttl_ms)
@@ -433,8 +433,8 @@
 pub fn up_entry(n: u64) -> Entry {
     Entry {
         backend: BackendId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
-        zone: (n % 2) as u16,
-        cell: (n % 3) as u32,
+        zone: Some(ZoneId(n % 2)),
+        cell: Some((n % 3) as u32),
         health: Health::Up,
         units: 1.0,
         ready_at_ms: 0.0,
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -240,8 +240,8 @@
 fn target(backend: usize, address: SocketAddr, health: Health, ready_at_ms: f64) -> Target {
     let entry = Entry {
         backend: BackendId(stable_hash(&name(backend))),
-        zone: 0,
-        cell: cell(backend),
+        zone: None,
+        cell: Some(cell(backend)),
         health,
         units: 1.0,
         ready_at_ms,
--- a/crates/lab/src/floor.rs
+++ b/crates/lab/src/floor.rs
@@ -132,15 +132,13 @@
         let mut pools = Vec::new();
         let mut servers = Vec::new();
         for (pool_index, pool) in rules.file.pools.iter().enumerate() {
-            let with_names = applemill_settings::pool_settings(&rules.file, pool)
+            let with_names = applemill_settings::pool_settings(&rules.file)
                 .map_err(|e| FloorError::File(e.to_string()))?;
             let (mut settings, names) = with_names;
             settings.classes.clone_from(&classes);
             let in_pool = server_pools.iter().filter(|(_, p)| *p == pool_index);
             servers.extend(
-                in_pool
-                    .zip(applemill_settings::static_targets(pool, &names, None))
-                    .map(|((n, p), t)| (*n, *p, t)),
+                in_pool.zip(applemill_settings::static_targets(pool, None)).map(|((n, p), t)| (*n, *p, t)),
             );
             pools.push(Pool { settings, names, acts_on_partial: pool.acts_on_partial });
         }
@@ -194,11 +192,6 @@
         })
     }
 
-    /// The number by which a pool's decisions know a zone.
-    pub fn zone(&self, pool: usize, zone: Option<&str>) -> Option<u16> {
-        zone.and_then(|z| Some(self.pools.get(pool)?.names.zone(Some(z))))
-    }
-
     /// The index of the server with this address.
     pub fn server_at(&self, address: SocketAddr) -> Option<usize> {
         let IpAddr::V4(ip) = address.ip() else { return None };
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -7,6 +7,7 @@
 use crate::world::World;
 use applemill_balancer::Balancer;
 use applemill_balancer::balancer::learned::LearnedState;
+use applemill_balancer::wire::zone_id;
 use applemill_blame::Blame;
 use applemill_ledger::{ConnId, Effect, Input, Ledger, Limits};
 use std::collections::{BTreeMap, VecDeque};
@@ -108,7 +109,7 @@
         let start_pool = |(index, pool): (usize, &crate::floor::Pool)| {
             let mut settings = pool.settings.clone();
             (settings.instances, settings.slot) = (world.nodes, number);
-            settings.zone = floor.zone(index, zone);
+            settings.zone = zone.and_then(zone_id);
             settings.peer_messages = world.messages.is_some();
             let limits = Limits {
                 connect_ms: settings.connect_timeout_ms,
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -13,7 +13,7 @@
 use crate::server::Server;
 use crate::world::World;
 use applemill_balancer::balancer::learned::LearnedState;
-use applemill_balancer::interface::Effect as ClassEffect;
+use applemill_balancer::interface::{Effect as ClassEffect, ZoneId};
 use applemill_ledger::{ConnId, Input, Target};
 use slab::Slab;
 use std::cmp::Ordering;
@@ -142,8 +142,8 @@
 /// Where and when a try first ran at a server.
 #[derive(Clone, Copy, Debug)]
 struct FirstRun {
-    zone: u16,
-    cell: u32,
+    zone: Option<ZoneId>,
+    cell: Option<u32>,
     at_ms: f64,
 }
 
@@ -542,8 +542,8 @@
             ClassEffect::Safe => true,
             ClassEffect::Unsafe => runs < 2,
             ClassEffect::Keyed(KeyScope::All) => true,
-            ClassEffect::Keyed(KeyScope::Zone) => first.zone == zone,
-            ClassEffect::Keyed(KeyScope::Cell) => first.cell == cell,
+            ClassEffect::Keyed(KeyScope::Zone) => first.zone.is_some() && first.zone == zone,
+            ClassEffect::Keyed(KeyScope::Cell) => first.cell.is_some() && first.cell == cell,
         };
         let key_ttl_ms =
             self.floor.pools.get(path.pool).and_then(|p| p.settings.classes.get(path.class)).map_or(
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -30,7 +30,7 @@
 
 fn target(backend: u64, address: SocketAddr, health: Health) -> Target {
     let entry =
-        Entry { backend: BackendId(backend), zone: 0, cell: 0, health, units: 1.0, ready_at_ms: 0.0 };
+        Entry { backend: BackendId(backend), zone: None, cell: None, health, units: 1.0, ready_at_ms: 0.0 };
     Target { entry, address: Some(address) }
 }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -31,7 +31,7 @@
     pub last_known_list: Value,
     /// Settings of the balancer.
     pub settings: Settings,
-    /// Names of the classes, tenants and zones in the settings.
+    /// Names of the classes and tenants in the settings.
     pub names: Names,
 }
 
--- a/crates/node/src/pools.rs
+++ b/crates/node/src/pools.rs
@@ -73,18 +73,18 @@
         }));
     }
     driver.handle(Input::Start);
-    if let Some(listing) = parse_listing(&last_known_list, &names) {
+    if let Some(listing) = parse_listing(&last_known_list) {
         driver.handle(Input::List(ListKind::Saved, listing.targets));
     }
     let address_sender = match source {
         Source::Discovery(initial) => {
             let (address_sender, address) = watch::channel(initial);
-            let (names, descriptors) = (names.clone(), context.shared.descriptors.clone());
+            let descriptors = context.shared.descriptors.clone();
             let timing = match mode {
                 Discovery::Pushed => CallTiming::pushed(grace_ms, context.call_spread()),
                 Discovery::OnRequest => CallTiming::on_request(),
             };
-            let watch = DiscoveryWatch { address, mode, timing, names, descriptors, watch_requests };
+            let watch = DiscoveryWatch { address, mode, timing, descriptors, watch_requests };
             spawn_local(watch.run(driver.clone()));
             Some(address_sender)
         }
--- a/crates/operator/src/pool.rs
+++ b/crates/operator/src/pool.rs
@@ -23,7 +23,7 @@
     pub name: String,
     /// Settings of its balancer.
     pub settings: Settings,
-    /// Names of the classes, tenants and zones in the settings.
+    /// Names of the classes and tenants in the settings.
     pub names: Rc<Names>,
     /// Where its list of backends comes from.
     pub source: Source,
@@ -45,7 +45,7 @@
     pub name: String,
     /// Connects the ledger with the pool's sockets and timers.
     pub driver: Rc<Driver>,
-    /// Names of the tenants and zones in its settings.
+    /// Names of the tenants in its settings.
     pub names: Rc<Names>,
     /// How many of the settings' classes are the platform's; the operator's classes follow them.
     pub platform_classes: usize,
--- a/crates/operator/src/running.rs
+++ b/crates/operator/src/running.rs
@@ -86,12 +86,12 @@
             .map_err(|_| FileError::NotApplicable(display_path.clone(), "too many classes".into()))?;
         let mut pools = Vec::new();
         for pool in &rules.file.pools {
-            let (mut settings, names) = pool_settings(&rules.file, pool)
+            let (mut settings, names) = pool_settings(&rules.file)
                 .map_err(|e| FileError::InvalidSettings(display_path.clone(), e))?;
             settings.classes = slots.values().cloned().collect();
             let source = match &pool.discovery {
                 Some(address) => Source::Discovery(address.value),
-                None => Source::Static(static_targets(pool, &names, None)),
+                None => Source::Static(static_targets(pool, None)),
             };
             pools.push(PoolSetup {
                 name: pool.name.value.clone(),
@@ -205,18 +205,8 @@
             }
             let list = static_targets(
                 pool,
-                &running.names,
                 previous.map(|pool| PreviousList { pool, now_ms: running.driver.clock.now_ms() }),
             );
-            let in_new_zone = |server: &applemill_routes::Server| {
-                server.zone.as_ref().is_some_and(|z| running.names.zone(Some(&z.value)) == u16::MAX)
-            };
-            if let Some(server) = pool.servers.iter().find(|server| in_new_zone(server)) {
-                return Err(format!(
-                    "server {:?} is in a new zone; restart the node to add it",
-                    server.name.value
-                ));
-            }
             if discovery(pool).is_none() {
                 lists.push((number, list));
             }
--- a/crates/routes/src/check/safety.rs
+++ b/crates/routes/src/check/safety.rs
@@ -130,8 +130,7 @@
             Some(DroppedBy::Cell) => "cell",
             _ => return,
         };
-        // The balancer treats servers without a zone or cell as being in the same one, which need not be the
-        // case for two of them.
+        // The balancer sends nothing again between servers whose zone or cell it does not know.
         let without_scope = e.pool.as_ref().and_then(|p| self.pool(&p.value)).and_then(|p| {
             let has_none = |s: &&Server| if scope == "zone" { s.zone.is_none() } else { s.cell.is_none() };
             let servers: Vec<&Server> = p.servers.iter().filter(has_none).collect();
--- a/crates/routes/tests/model.rs
+++ b/crates/routes/tests/model.rs
@@ -205,7 +205,7 @@
     }
 
     /// Whether the repeat may go to a server that does not drop repeats of the first one: two servers without
-    /// a zone or cell, which the balancer treats as being in the same one.
+    /// a zone or cell, of which nobody knows whether they share one.
     fn may_reach_another_group(&self) -> bool {
         let without_place = self.case.places.iter().filter(|placed| !**placed).count();
         self.case.dropped_by != "pool" && without_place >= 2
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -62,22 +62,17 @@
     })
 }
 
-/// Settings of a pool that the operator's file defines, with a placeholder class: the caller sets the
+/// Settings of the pools that the operator's file defines, with a placeholder class: the caller sets the
 /// classes.
 ///
 /// # Errors
 /// The values of the file are not valid settings.
-pub fn pool_settings(file: &File, pool: &Pool) -> Result<(Settings, Names), WireError> {
+pub fn pool_settings(file: &File) -> Result<(Settings, Names), WireError> {
     let (node, fleet) = (&file.node, &file.fleet);
-    let mut zones: Vec<&str> =
-        pool.servers.iter().filter_map(|s| Some(s.zone.as_ref()?.value.as_str())).collect();
-    zones.extend(node.zone.iter().map(|z| z.value.as_str()));
-    zones.sort_unstable();
-    zones.dedup();
     let tenants: Vec<_> =
         file.tenants.iter().map(|t| json!({"name": t.name.value, "quotaRps": t.rate})).collect();
     let settings = json!({
-        "areas": zones, "zone": node.zone.as_ref().map_or("", |z| &z.value),
+        "zone": node.zone.as_ref().map_or("", |z| &z.value),
         "instances": fleet.nodes, "slotNo": fleet.number, "tickMs": 1.0, "membershipMode": "pushed",
         "classes": [{"name": "none", "hardLimitMs": 1000.0}], "tenants": tenants, "overShareWorth": 0.1,
         "limits": {"attemptsCap": 16, "mayCancel": true, "secondCopies": true, "retryAfter": node.retry_after,
@@ -102,7 +97,7 @@
 /// and is cold from the time of the reload on, unless the file marks it as warm: adding servers must not
 /// overload them. If no server of the previous list remains, all are treated as warm, as there is no other
 /// server to send the load to.
-pub fn static_targets(pool: &Pool, names: &Names, previous: Option<PreviousList<'_>>) -> Vec<Target> {
+pub fn static_targets(pool: &Pool, previous: Option<PreviousList<'_>>) -> Vec<Target> {
     let was_listed =
         |server: &Server| {
             previous.is_some_and(|previous| {
@@ -121,8 +116,8 @@
         entry: Entry {
             // Two pools may each have a server of the same name.
             backend: BackendId(stable_hash(&format!("{}/{}", pool.name.value, server.name.value))),
-            zone: names.zone(server.zone.as_ref().map(|z| z.value.as_str())),
-            cell: server.cell.as_ref().map_or(0, |c| c.value),
+            zone: server.zone.as_ref().and_then(|z| wire::zone_id(&z.value)),
+            cell: server.cell.as_ref().map(|c| c.value),
             health: Health::Up,
             units: server.weight,
             ready_at_ms: cold_since_ms(server),
--- a/crates/upstream/src/discovery.rs
+++ b/crates/upstream/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::discovery_calls::{CallEnd, CallTasks};
 use crate::driver::{Driver, Input};
 use applemill_balancer::interface::{BackendId, Discovery, Entry, Health, ListKind};
-use applemill_balancer::wire::{Names, stable_hash};
+use applemill_balancer::wire::{stable_hash, zone_id};
 use applemill_ledger::Target;
 use applemill_socket::Descriptors;
 use applemill_watch_calls::{BootTimes, CallId, CallTiming, ListUse, ListVersion, Step, WatchCalls};
@@ -25,13 +25,13 @@
 
 /// Parses a list in discovery's format; `None` if it is not one. Malformed entries are logged and skipped:
 /// one of them must not hide the others.
-pub fn parse_listing(json: &Value, names: &Names) -> Option<Listing> {
+pub fn parse_listing(json: &Value) -> Option<Listing> {
     let revision = json.get("rev")?.as_u64()?;
     let is_full = json.get("all").and_then(Value::as_bool).unwrap_or(false);
     let entries = json.get("targets")?.as_array()?;
     let mut targets = Vec::with_capacity(entries.len());
     for entry in entries {
-        match parse_entry(entry, names) {
+        match parse_entry(entry) {
             Ok(target) => targets.push(target),
             Err(field) => {
                 let text = entry.to_string();
@@ -42,7 +42,7 @@
     Some(Listing { revision, is_full, targets })
 }
 
-fn parse_entry(json: &Value, names: &Names) -> Result<Target, &'static str> {
+fn parse_entry(json: &Value) -> Result<Target, &'static str> {
     let text = |field: &str| json.get(field).and_then(Value::as_str);
     let uid = text("uid").filter(|u| !u.is_empty()).ok_or("uid")?;
     let health = match text("state") {
@@ -60,14 +60,14 @@
         None | Some(Value::Null) => Ok(default),
         Some(v) => v.as_f64().ok_or(field),
     };
-    let cell = number("pod_group", 0.0)?;
-    if cell < 0.0 || cell > f64::from(u32::MAX) {
-        return Err("pod_group");
-    }
+    let cell = match json.get("pod_group") {
+        None | Some(Value::Null) => None,
+        Some(cell) => Some(parse_cell(cell).ok_or("pod_group")?),
+    };
     let entry = Entry {
         backend: BackendId(stable_hash(uid)),
-        zone: names.zone(text("az")),
-        cell: cell as u32,
+        zone: text("az").and_then(zone_id),
+        cell,
         health,
         units: number("capacity_hint", 1.0)?,
         // Unix time; the caller converts it to the driver's clock.
@@ -76,6 +76,13 @@
     Ok(Target { entry, address })
 }
 
+/// A whole number, also where it is written with a fraction of zero.
+fn parse_cell(json: &Value) -> Option<u32> {
+    let number = json.as_f64()?;
+    let is_cell = number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number);
+    is_cell.then_some(number as u32)
+}
+
 /// Keeps a pool's list of backends up to date.
 pub struct DiscoveryWatch {
     /// The address of discovery; a new configuration may change it.
@@ -84,8 +91,6 @@
     pub mode: Discovery,
     /// The time limits of the calls.
     pub timing: CallTiming,
-    /// The names of the zones.
-    pub names: Rc<Names>,
     /// The pool of descriptors that the connections count against.
     pub descriptors: Rc<Descriptors>,
     /// Whether the balancer wants to watch, with [`Discovery::OnRequest`].
@@ -95,13 +100,13 @@
 impl DiscoveryWatch {
     /// Runs until the driver is gone.
     pub async fn run(self, driver: Rc<Driver>) {
-        let DiscoveryWatch { mut address, mode, timing, names, descriptors, mut watch_requests } = self;
+        let DiscoveryWatch { mut address, mode, timing, descriptors, mut watch_requests } = self;
         let mut caller = Caller {
             at: *address.borrow_and_update(),
             mode,
             boot_times: BootTimes::new(driver.clock.reading()),
             calls: WatchCalls::new(timing),
-            tasks: CallTasks::new(descriptors, names),
+            tasks: CallTasks::new(descriptors),
             failing: false,
             wanted: mode == Discovery::Pushed,
             driver,
--- a/crates/upstream/src/discovery_calls.rs
+++ b/crates/upstream/src/discovery_calls.rs
@@ -2,7 +2,6 @@
 
 use crate::conn::{Conn, OutgoingRequest};
 use crate::discovery::{Listing, parse_listing};
-use applemill_balancer::wire::Names;
 use applemill_socket::Descriptors;
 use applemill_watch_calls::{CallId, Ms};
 use hyper::StatusCode;
@@ -33,15 +32,14 @@
     tasks: JoinSet<CallEnd>,
     open: BTreeMap<CallId, CallTask>,
     descriptors: Rc<Descriptors>,
-    names: Rc<Names>,
     /// The connection of the last complete answer, for the next call.
     pub idle_conn: Option<Conn>,
 }
 
 impl CallTasks {
     /// No call is open.
-    pub fn new(descriptors: Rc<Descriptors>, names: Rc<Names>) -> CallTasks {
-        CallTasks { tasks: JoinSet::new(), open: BTreeMap::new(), descriptors, names, idle_conn: None }
+    pub fn new(descriptors: Rc<Descriptors>) -> CallTasks {
+        CallTasks { tasks: JoinSet::new(), open: BTreeMap::new(), descriptors, idle_conn: None }
     }
 
     /// Starts a call: a watch for changes after a revision that waits for so long, or for the whole list.
@@ -56,7 +54,6 @@
             path,
             conn: self.idle_conn.take().filter(Conn::is_alive),
             descriptors: self.descriptors.clone(),
-            names: self.names.clone(),
             moved: moved.clone(),
         };
         let abort = self.tasks.spawn_local(async move { (id, call.run().await) });
@@ -100,7 +97,6 @@
     path: String,
     conn: Option<Conn>,
     descriptors: Rc<Descriptors>,
-    names: Rc<Names>,
     moved: Rc<Cell<Option<Instant>>>,
 }
 
@@ -117,7 +113,7 @@
             return Err(format!("status {}", answer.status()).into());
         }
         let json = serde_json::from_slice(answer.body())?;
-        let listing = parse_listing(&json, &self.names).ok_or("the answer is not a list of backends")?;
+        let listing = parse_listing(&json).ok_or("the answer is not a list of backends")?;
         Ok((listing, conn))
     }
 }
