Front end: split the reading of requests into files with one job each

Change: rejections, ids of open requests, heads, buffered bodies and the values that a route reads are files of their own. Nothing of what the software does changes.

--- a/crates/front-http/src/lib.rs
+++ b/crates/front-http/src/lib.rs
@@ -3,8 +3,13 @@
 //! no balancing decisions.
 
 mod body;
+mod buffered_body;
 mod client;
+mod head;
+mod open_ids;
+mod rejection;
 mod request;
+mod route_fields;
 mod server;
 mod upload;
 
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -2,9 +2,8 @@
 
 use crate::body::OutgoingBody;
 use crate::client::{BusyGuard, Client, ClosePriority, CloseReason, IDLE_TIMEOUT, RECHECK_INTERVAL};
-use crate::request::{
-    NodeResponse, ParsedRequest, Rejection, RequestReader, closing_response, node_response, plain,
-};
+use crate::rejection::{NodeResponse, Rejection, closing_response, node_response, plain};
+use crate::request::{ParsedRequest, RequestReader};
 use crate::upload::Upload;
 use applemill_ledger::Answer;
 use applemill_operator::RunningPool;
--- a/crates/front-http/src/upload.rs
+++ b/crates/front-http/src/upload.rs
@@ -1,6 +1,6 @@
 //! Copies a request's body from the client's connection into a stream, at the speed of the stream's reader.
 
-use crate::request::{BODY_TOO_LARGE, Rejection, invalid};
+use crate::rejection::{BODY_TOO_LARGE, Rejection, invalid};
 use applemill_answers::trailers_allowed;
 use applemill_flow::CutReason;
 use applemill_upstream::StreamWriter;
