Keep the memory limit with slow, halted, many-field and unread requests

Cause: bodies were counted by received bytes and not by their allocation, parsed heads and unread answers were not counted, and clients were limited by descriptors alone, at some 29 kB each, 8 of them for a request that had not come.

Change: `MemoryLimits` divides the memory; clients are limited by it; heads, allocations of bodies and unread answers are counted; a request's future is allocated when it comes. 4 kB of each connection need no reservation. Under scarcity, uploads that stand still and answers that are not read give up their places.

--- a/crates/front-http/src/client.rs
+++ b/crates/front-http/src/client.rs
@@ -22,6 +22,8 @@
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(25);
 /// If descriptors are scarce, a client that has not completed its request for this long may be closed.
 const STALLED_AFTER: Duration = Duration::from_millis(100);
+/// If descriptors are scarce, a client that has read nothing of its answer for this long may be closed.
+const UNREAD_AFTER: Duration = Duration::from_millis(250);
 /// How often an open request's client is checked for having gone: nothing may begin 100 ms after that.
 const GONE_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 /// How many characters of a request's id are kept for the log.
@@ -91,6 +93,8 @@
 pub(crate) struct Client {
     pub(crate) socket: Socket,
     busy: Cell<bool>,
+    /// The current request has not been received completely.
+    receiving: Cell<bool>,
     /// Set from the first complete request head until the connection is finished.
     pub(crate) returning: RefCell<Option<ReturningClient>>,
     returning_clients: Rc<Cell<usize>>,
@@ -101,6 +105,9 @@
     pub(crate) finished: Cell<bool>,
     pub(crate) close: Notify,
     last_request: RefCell<Option<LastRequest>>,
+    /// The length of the last answer, if it was buffered.
+    pub(crate) answer_bytes: Cell<usize>,
+    answer_dropped: Cell<bool>,
     /// How long the client may read nothing of its answer.
     unread_timeout: Cell<Duration>,
 }
@@ -111,7 +118,10 @@
     Finished,
     NoRequestYet,
     Idle,
+    /// It has not sent all of its request.
     Stalled,
+    /// It does not read its answer.
+    Unread,
 }
 
 impl Client {
@@ -120,6 +130,7 @@
         Client {
             socket,
             busy: Cell::new(false),
+            receiving: Cell::new(false),
             returning: RefCell::default(),
             returning_clients,
             idle_since: Cell::new(Instant::now()),
@@ -127,6 +138,8 @@
             finished: Cell::new(false),
             close: Notify::new(),
             last_request: RefCell::default(),
+            answer_bytes: Cell::new(0),
+            answer_dropped: Cell::new(false),
             unread_timeout: Cell::new(IDLE_TIMEOUT),
         }
     }
@@ -139,7 +152,13 @@
 
     /// The answer to the last request is handed over for sending. The client may read nothing of it for
     /// `unread_timeout`, or for as long as a connection may be idle.
-    pub(crate) fn set_answered(&self, status: StatusCode, unread_timeout: Option<Duration>) {
+    pub(crate) fn set_answered(
+        &self,
+        status: StatusCode,
+        answer_bytes: usize,
+        unread_timeout: Option<Duration>,
+    ) {
+        self.answer_bytes.set(answer_bytes);
         self.unread_timeout.set(unread_timeout.unwrap_or(IDLE_TIMEOUT));
         if let Some(last_request) = &mut *self.last_request.borrow_mut() {
             last_request.answered = true;
@@ -148,6 +167,21 @@
         }
     }
 
+    /// Since when the client has read nothing of its answer; `None` if it has read all that was written.
+    pub(crate) fn unread_since(&self) -> Option<Instant> {
+        self.socket.last_written().filter(|_| self.socket.write_waits())
+    }
+
+    /// Ends the connection, and with it the answer that the client does not read.
+    pub(crate) fn drop_answer(&self) {
+        self.answer_dropped.set(true);
+        self.close.notify_one();
+    }
+
+    pub(crate) fn is_answer_dropped(&self) -> bool {
+        self.answer_dropped.get()
+    }
+
     /// Waits until the client has closed the connection. While a client's next request is buffered, the
     /// connection is not read, and its end would go unnoticed.
     pub(crate) async fn gone(&self) {
@@ -170,11 +204,18 @@
         }
     }
 
+    /// The current request has been received.
+    pub(crate) fn set_received(&self) {
+        self.receiving.set(false);
+    }
+
     /// The priority for closing; `None` while a request is served.
     pub(crate) fn close_priority(&self) -> Option<ClosePriority> {
         match self.socket.message_began() {
             _ if self.finished.get() => Some(ClosePriority::Finished),
+            _ if self.receiving.get() => Some(ClosePriority::Stalled),
             _ if self.busy.get() => None,
+            _ if self.socket.write_waits() => Some(ClosePriority::Unread),
             _ if self.returning.borrow().is_none() => Some(ClosePriority::NoRequestYet),
             None => Some(ClosePriority::Idle),
             Some(_) => Some(ClosePriority::Stalled),
@@ -198,6 +239,9 @@
                 self.stalled_since.set(Some(since));
                 since.elapsed() > STALLED_AFTER
             }
+            Some(ClosePriority::Unread) => {
+                self.unread_since().is_some_and(|since| since.elapsed() > UNREAD_AFTER)
+            }
         }
     }
 
@@ -235,6 +279,7 @@
 impl BusyGuard {
     pub(crate) fn new(client: Rc<Client>, request_id: &str) -> BusyGuard {
         client.busy.set(true);
+        client.receiving.set(true);
         client
             .returning
             .borrow_mut()
@@ -248,6 +293,7 @@
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.receiving.set(false);
         self.0.idle_since.set(Instant::now());
         self.0.socket.expect_message();
     }
--- a/crates/front-http/src/request.rs
+++ b/crates/front-http/src/request.rs
@@ -7,6 +7,7 @@
 use crate::head::{declared_length, forwarded_headers, host, reject_transfer_encoding, streamed_length};
 use crate::open_ids::{OpenIdGuard, OpenIds};
 use crate::rejection::{BODY_TOO_LARGE, Rejection, invalid};
+use crate::request_memory::RequestMemory;
 use crate::route_fields::{RequestSources, RouteFields, single_header};
 use crate::upload::Upload;
 use applemill_balancer::interface::{Class, Effect, Request as BalancerRequest, RequestId};
@@ -355,27 +356,36 @@
             headers,
             ..
         } = request_head;
-        if declared_length.is_none_or(|l| l > limit) {
+        let Some(declared_bytes) =
+            declared_length.filter(|l| *l <= limit).and_then(|l| usize::try_from(l).ok())
+        else {
             return Err(BODY_TOO_LARGE);
-        }
+        };
+        let mut memory = RequestMemory::new(&self.memory);
+        memory.add_head(&headers).map_err(|_| Rejection::Overloaded)?;
         let expires = arrived + wait.saturating_sub(EXPIRY_MARGIN);
-        let reading = read_body(body, &self.memory);
-        let (body, memory_reservation) =
-            match tokio::time::timeout_at(expires.min(arrived + BODY_TIMEOUT).into(), reading).await {
-                Ok(Ok(received)) => received,
-                Ok(Err(BodyError::OutOfMemory)) => return Err(Rejection::Overloaded),
-                Ok(Err(BodyError::ReadFailed)) => return Err(invalid("the body cannot be read\n")),
-                Err(_) => {
-                    return Err(Rejection::Invalid(
-                        StatusCode::REQUEST_TIMEOUT,
-                        "the body did not come in time\n",
-                    ));
-                }
-            };
+        let reading = read_body(body, declared_bytes, &mut memory);
+        let body = match tokio::time::timeout_at(expires.min(arrived + BODY_TIMEOUT).into(), reading).await
+        {
+            Ok(Ok(received)) => received,
+            Ok(Err(BodyError::OutOfMemory)) => return Err(Rejection::Overloaded),
+            Ok(Err(BodyError::ReadFailed)) => return Err(invalid("the body cannot be read\n")),
+            Err(_) => {
+                return Err(Rejection::Invalid(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body did not come in time\n",
+                ));
+            }
+        };
         // The id is reserved only now: a client that delays its body must not hold one.
         let guard = RequestGuard { _id: self.open_id(id)?, _version: version };
-        let call =
-            Call { method, target, headers, body: Body::Buffered(body, memory_reservation), answer: None };
+        let call = Call {
+            method,
+            target,
+            headers,
+            body: Body::Buffered(body, memory.into_reservation()),
+            answer: None,
+        };
         let deadlines = RequestDeadlines {
             deadline: arrived + wait.saturating_sub(DEADLINE_MARGIN),
             expires,
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -1,32 +1,30 @@
 //! The client side: accepts connections, serves their requests and closes idle ones.
 
-use crate::body::OutgoingBody;
+use crate::answer_memory::AnswerMemory;
 use crate::client::{BusyGuard, Client, ClosePriority, CloseReason, IDLE_TIMEOUT, RECHECK_INTERVAL};
-use crate::rejection::{NodeResponse, Rejection, closing_response, node_response, plain};
+use crate::reclaim;
+use crate::rejection::{NodeResponse, Rejection, closing_response, node_response};
 use crate::request::{ParsedRequest, RequestReader};
-use crate::upload::Upload;
-use applemill_ledger::Answer;
+use crate::response::{answer_during_upload, to_response};
 use applemill_operator::RunningPool;
 use applemill_socket::{
     ClientIdentity, DescriptorPermit, Descriptors, Layer, OpenedConnection, Socket, Stream,
     is_out_of_descriptors, is_single_accept_failure,
 };
+use applemill_upstream::StreamedAnswer;
 use applemill_upstream::headers::TRACE_ID;
-use applemill_upstream::{PendingAnswer, Reply as BackendReply, ReplyBody, StreamedAnswer};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -72,12 +70,23 @@
 /// Path prefix where certificate authorities request ACME challenges (RFC 8555, 8.3).
 const ACME_CHALLENGE_PREFIX: &str = "/.well-known/acme-challenge/";
 
+/// The limits of the client side.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// How many requests may be open at the same time.
+    pub open_requests: usize,
+    /// The size of a connection's read buffer.
+    pub read_buffer_bytes: usize,
+    /// What answers may hold that their clients have not read.
+    pub unread_answer_bytes: usize,
+}
+
 /// The client side of the node.
 pub struct Server {
     pools: Rc<[RunningPool]>,
     reader: RequestReader,
-    open_cap: usize,
-    read_buffer_bytes: usize,
+    limits: ServerLimits,
+    answer_memory: AnswerMemory,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     /// The number of clients that have sent a request and may send more.
@@ -93,14 +102,12 @@
 }
 
 impl Server {
-    /// A server without clients. At most `open_cap` requests are open at the same time, and
-    /// `read_buffer_bytes` is the size of a connection's read buffer. `/up` shows its page of `pages`, and
-    /// with `not_ready_reason` also the reason why the node is not ready.
+    /// A server without clients. `/up` shows its page of `pages`, and with `not_ready_reason` also the reason
+    /// why the node is not ready.
     pub fn new(
         pools: Rc<[RunningPool]>,
         reader: RequestReader,
-        open_cap: usize,
-        read_buffer_bytes: usize,
+        limits: ServerLimits,
         descriptors: Rc<Descriptors>,
         pages: Option<NodePages>,
         not_ready_reason: Option<NotReadyReason>,
@@ -108,8 +115,8 @@
         let server = Rc::new(Server {
             pools,
             reader,
-            open_cap,
-            read_buffer_bytes,
+            limits,
+            answer_memory: AnswerMemory::default(),
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             returning_clients: Rc::default(),
@@ -132,27 +139,24 @@
         server
     }
 
-    /// Closes one client to free a descriptor. Connections without a request go before those of returning
-    /// clients, and the longest idle first. If connections without a request hold most places, only these are
-    /// closed: a new one may be about to send its request, and waiting for that is better than closing a
-    /// returning client.
+    /// Closes one client to free a descriptor.
     fn close_one_client(&self) {
-        let clients = self.clients.borrow();
-        let mut order: Vec<_> =
-            clients.values().filter_map(|c| Some((c.close_priority()?, c.idle_since.get(), c))).collect();
-        let without_request = order
-            .iter()
-            .filter(|(close_priority, ..)| *close_priority == ClosePriority::NoRequestYet)
-            .count();
-        if 2 * without_request > clients.len() {
-            order.retain(|(close_priority, ..)| *close_priority <= ClosePriority::NoRequestYet);
-        }
-        order.sort_unstable_by_key(|(close_priority, since, _)| (*close_priority, *since));
-        if let Some((.., client)) = order.into_iter().find(|(.., c)| c.can_close()) {
+        if let Some(client) = reclaim::idle_client(self.clients.borrow().values()) {
             client.close.notify_one();
         }
     }
 
+    /// If answers hold more memory than they may, resets clients that do not read theirs.
+    fn limit_unread_answers(&self) {
+        let excess_bytes = self.answer_memory.held_bytes().saturating_sub(self.limits.unread_answer_bytes);
+        if excess_bytes == 0 {
+            return;
+        }
+        for client in reclaim::clients_that_do_not_read(self.clients.borrow().values(), excess_bytes) {
+            client.drop_answer();
+        }
+    }
+
     fn close_idle(&self) {
         for client in self.clients.borrow().values().filter(|c| c.can_close()) {
             client.close.notify_one();
@@ -277,8 +281,11 @@
             let id = request.headers().get(TRACE_ID).and_then(|id| id.to_str().ok());
             let busy = BusyGuard::new(client.clone(), id.unwrap_or_default());
             async move {
-                let mut response = self.respond(client, request, caller).await;
-                client.set_answered(response.status(), response.body().unread_timeout());
+                // Boxed here, so that a connection without a request does not hold the memory of one.
+                let mut response = Box::pin(self.respond(client, request, caller)).await;
+                let answer_bytes = response.body_mut().count_in(&self.answer_memory);
+                client.set_answered(response.status(), answer_bytes, response.body().unread_timeout());
+                self.limit_unread_answers();
                 // With a streamed answer, the client is busy until the last byte is sent.
                 response.body_mut().hold_until_sent(busy);
                 Ok::<_, Infallible>(response)
@@ -286,7 +293,7 @@
         });
         let mut connection = pin!(
             http1::Builder::new()
-                .max_buf_size(self.read_buffer_bytes)
+                .max_buf_size(self.limits.read_buffer_bytes)
                 .serve_connection(TokioIo::new(stream), service)
         );
         let mut check_at = Instant::now() + IDLE_TIMEOUT;
@@ -300,6 +307,9 @@
                     Ok(()) => CloseReason::Complete,
                 },
                 () = client.close.notified() => {
+                    if client.is_answer_dropped() {
+                        return CloseReason::AnswerUnread;
+                    }
                     // Check again: a request may have arrived since.
                     match client.close_priority().filter(|_| client.can_close()) {
                         Some(ClosePriority::Idle) => {
@@ -307,6 +317,7 @@
                             connection.as_mut().graceful_shutdown();
                             shutting_down_idle = true;
                         }
+                        Some(ClosePriority::Unread) => return CloseReason::AnswerUnread,
                         Some(_) => return CloseReason::ClosedEarly,
                         None => {}
                     }
@@ -336,7 +347,9 @@
         {
             node_response(StatusCode::OK, text)
         } else if path != "/up" {
-            match self.reader.read(arrived, head, body, caller).await {
+            let parsed = self.reader.read(arrived, head, body, caller).await;
+            client.set_received();
+            match parsed {
                 Ok(parsed) => tokio::select! {
                     biased;
                     // Nothing reads this answer; dropping the other branch gives up the request.
@@ -390,7 +403,7 @@
         ParsedRequest { pool, request, traits, call, deadlines, upload, guard }: ParsedRequest,
     ) -> NodeResponse<BusyGuard> {
         let open: usize = self.pools.iter().map(|p| p.driver.open()).sum();
-        let Some(pool) = self.pools.get(pool).filter(|_| open < self.open_cap) else {
+        let Some(pool) = self.pools.get(pool).filter(|_| open < self.limits.open_requests) else {
             return Rejection::Overloaded.into();
         };
         let unread_timeout = call.answer.as_ref().and_then(StreamedAnswer::unread_timeout);
@@ -422,63 +435,3 @@
         () = client.close.notified() => {}
     }
 }
-
-/// Waits for the answer to a request while its body is uploaded.
-async fn answer_during_upload(
-    pending_answer: PendingAnswer,
-    upload: Upload,
-    unread_timeout: Option<Duration>,
-) -> NodeResponse<BusyGuard> {
-    let mut answer = pin!(pending_answer.answer());
-    // If the request is refused at once, the client is not asked to send the body.
-    let first_poll = poll_fn(|cx| Poll::Ready(answer.as_mut().poll(cx))).await;
-    let answered = match first_poll {
-        Poll::Ready(answered) => answered,
-        Poll::Pending => {
-            // The upload continues after an early answer, as long as the backend reads.
-            let mut upload_task = spawn_local(upload.run());
-            let end = tokio::select! {
-                biased;
-                answered = answer.as_mut() => Err(answered),
-                end = &mut upload_task => Ok(end),
-            };
-            match end {
-                Ok(Ok(Err(rejection))) => return rejection.into(),
-                Ok(_) => return to_response(answer.await, unread_timeout),
-                Err(answered) => answered,
-            }
-        }
-    };
-    let mut response = to_response(answered, unread_timeout);
-    // The body was not read to its end: what follows on the connection is not a request.
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-/// Converts an answer to a response for the client, which may read nothing of a streamed body for
-/// `unread_timeout`.
-fn to_response(answer: Answer<BackendReply>, unread_timeout: Option<Duration>) -> NodeResponse<BusyGuard> {
-    match answer {
-        Answer::Served(reply) => {
-            let mut response = Response::new(match reply.body {
-                ReplyBody::Buffered(bytes) => OutgoingBody::Buffered(bytes),
-                ReplyBody::Streamed(reader, remaining) => {
-                    OutgoingBody::Streamed { reader, remaining, ended: false, guard: None, unread_timeout }
-                }
-            });
-            *response.status_mut() = reply.status;
-            *response.headers_mut() = reply.headers;
-            response
-        }
-        Answer::Refused { retry_after_ms } => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
-            if retry_after_ms > 0.0
-                && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0))
-            {
-                response.headers_mut().insert(RETRY_AFTER, seconds);
-            }
-            response
-        }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod fleet;
 mod handover;
+mod memory_limits;
 mod metrics;
 mod pools;
 mod print;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::daemon::{LockFile, StartError, notify_main_pid, notify_stopping, notify_when_ready};
 use crate::fleet;
 use crate::handover::{HandoverOffer, PreviousShare, TakeOver};
+use crate::memory_limits::MemoryLimits;
 use crate::metrics::{self, task_state_label};
 use crate::pools::{AddressSender, PoolContext, close_oldest_idle, longest_deadline_ms, start_pool};
 use crate::print::print;
@@ -14,13 +15,13 @@
 use applemill_certificate_manager::CertificateManager;
 use applemill_fleet::{self as membership, FleetNode};
 use applemill_flow::{Memory, MemoryLayout};
-use applemill_front_http::{NodePages, NotReadyReason, RequestReader, Server};
+use applemill_front_http::{NodePages, NotReadyReason, RequestReader, Server, ServerLimits};
 use applemill_ledger::Limits;
 use applemill_operator::{Operator, RunningPool};
 use applemill_routes::MIN_STREAM_BUFFER_BYTES;
 use applemill_socket::{Descriptors, Layer};
 use applemill_tls::{Handshakes, Tls, TlsError};
-use applemill_upstream::{BODY_LIMIT, Clock, Input, Peers, SharedResources, StreamPool};
+use applemill_upstream::{Clock, Input, Peers, SharedResources, StreamPool};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -37,14 +38,6 @@
 
 /// Connections that may wait to be accepted while the node is busy or out of descriptors.
 const LISTEN_BACKLOG: u32 = 1024;
-/// Request bodies in memory may take one part in this many of the process's memory.
-const BODY_MEMORY_DIVISOR: usize = 4;
-/// Read buffers of connections may take one part in this many of the process's memory.
-const BUFFER_MEMORY_DIVISOR: usize = 4;
-/// Smallest read buffer of a connection: a request head must fit.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Largest read buffer of a connection: more than a body is of no use.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval between two searches for idle connections to backends that have expired.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The platform sends SIGKILL after SIGTERM with a delay of the longest deadline, this at most, plus 0.7 s.
@@ -232,9 +225,9 @@
         fleet.start(None);
     }
     let fleet_sockets = if fleet.is_some() { membership::MAX_SOCKETS } else { 0 };
-    let descriptors = Descriptors::new(setup.max_descriptors.saturating_sub(fleet_sockets));
-    let buffer_bytes = (setup.memory_bytes / BUFFER_MEMORY_DIVISOR / setup.max_descriptors.max(1))
-        .clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
+    let memory_limits = MemoryLimits::new(setup.memory_bytes, setup.max_descriptors);
+    let descriptors =
+        Descriptors::new(setup.max_descriptors.saturating_sub(fleet_sockets), memory_limits.max_clients);
     let peers = match setup.peers {
         Some(p) => {
             let peers = Peers::new(p.listen, p.nodes, p.all, p.node_number).await;
@@ -257,7 +250,7 @@
         descriptors: descriptors.clone(),
         peers: peers.clone(),
         stream_pool: stream_pool.clone(),
-        buffer: buffer_bytes,
+        buffer: memory_limits.buffer_bytes,
         limits,
     });
     let context = PoolContext { shared, seed: setup.seed, fleet: fleet.clone() };
@@ -324,10 +317,9 @@
     let request_timeout =
         Duration::from_secs_f64(longest_deadline_ms.clamp(0.0, 1e6) / 1000.0).min(max_stop);
     let drain_timeout = request_timeout.max(setup.streams.stop_timeout);
-    let body_bytes = (setup.memory_bytes / BODY_MEMORY_DIVISOR).max(BODY_LIMIT);
     let memory = Memory::new(MemoryLayout {
-        total_bytes: body_bytes + setup.streams.memory_bytes,
-        body_reserve_bytes: body_bytes,
+        total_bytes: memory_limits.request_bytes + setup.streams.memory_bytes,
+        body_reserve_bytes: memory_limits.request_bytes,
         stream_floor_bytes: MIN_STREAM_BUFFER_BYTES as usize,
         max_directions: 2 * setup.streams.max_streams,
     });
@@ -336,8 +328,11 @@
     let server = Server::new(
         pools.clone(),
         reader,
-        setup.max_open_requests,
-        buffer_bytes,
+        ServerLimits {
+            open_requests: setup.max_open_requests,
+            read_buffer_bytes: memory_limits.buffer_bytes,
+            unread_answer_bytes: memory_limits.answer_bytes,
+        },
         descriptors,
         certificates.clone().map(|(manager, tls)| certificate_pages(manager, tls)),
         (!setup.platform).then(|| not_ready_reason(fleet.clone())),
--- a/crates/node/tests/node_keyed_groups.rs
+++ b/crates/node/tests/node_keyed_groups.rs
@@ -24,7 +24,7 @@
         let keys = arrivals.len();
         let servers = arrivals.entry(key).or_default();
         servers.push(number);
-        let breaks = servers.len() == 1 && keys % BREAK_EVERY == 0;
+        let breaks = servers.len() == 1 && keys.is_multiple_of(BREAK_EVERY);
         if breaks { Act::SayAndReset(Vec::new()) } else { ok(b"paid") }
     })
 }
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -36,18 +36,23 @@
     /// How many of the used descriptors belong to clients.
     client_count: Cell<usize>,
     limit: usize,
+    max_clients: usize,
     freed: Notify,
     backend_reclaimer: RefCell<Option<Reclaimer>>,
     client_reclaimer: RefCell<Option<Reclaimer>>,
 }
 
 impl Descriptors {
-    /// A limit for a process that may open `sockets` descriptors.
-    pub fn new(sockets: usize) -> Rc<Descriptors> {
+    /// A limit for a process that may open `sockets` descriptors. Clients may hold two thirds of them: an
+    /// attempt for a connected client is worth more than one more client, and a connection to a backend costs
+    /// more than a client's. They hold `max_clients` at most.
+    pub fn new(sockets: usize, max_clients: usize) -> Rc<Descriptors> {
+        let limit = sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).max(8);
         Rc::new(Descriptors {
             used_count: Cell::new(0),
             client_count: Cell::new(0),
-            limit: sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).max(8),
+            limit,
+            max_clients: max_clients.min(limit - limit / 3),
             freed: Notify::new(),
             backend_reclaimer: RefCell::default(),
             client_reclaimer: RefCell::default(),
@@ -90,13 +95,10 @@
         self.acquire_immediately()
     }
 
-    /// Waits for a descriptor for a new client. Clients may hold two thirds of all descriptors: an attempt
-    /// for a connected client is worth more than one more client, and a connection to a backend costs more
-    /// than a client's.
+    /// Waits for a descriptor for a new client. If clients hold all that they may, an idle one is closed.
     pub async fn acquire_for_client(self: &Rc<Self>) -> DescriptorPermit {
-        let max_clients = self.limit - self.limit / 3;
-        while self.client_count.get() >= max_clients || self.used_count.get() >= self.limit {
-            let client_allowed = self.client_count.get() < max_clients;
+        while self.client_count.get() >= self.max_clients || self.used_count.get() >= self.limit {
+            let client_allowed = self.client_count.get() < self.max_clients;
             if !(if client_allowed { self.reclaim_any() } else { self.reclaim_client() }) {
                 self.wait_for_release().await;
             }
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -242,8 +242,17 @@
 
     /// Resident memory.
     pub fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS")
+    }
+
+    /// The most resident memory that the process has had.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.status_kb("VmHWM")
+    }
+
+    fn status_kb(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+        let line = status.lines().find(|l| l.starts_with(name)).unwrap();
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
--- a/crates/upstream/src/conn.rs
+++ b/crates/upstream/src/conn.rs
@@ -309,7 +309,7 @@
         });
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let (succeeded, reported) = runtime.block_on(async {
-            let permit = Descriptors::new(64).acquire_immediately();
+            let permit = Descriptors::new(64, 64).acquire_immediately();
             let mut conn = Conn::connect(address, permit, 8192).await.unwrap();
             let mut reported = Vec::new();
             let end = conn
