Run no unsafe request again whose id comes again after its client has left

Cause: an id was reserved only while its request was open, and that ends when the client leaves, while the attempt runs on.

Change: the ids of submitted requests that must not run again are kept for one to two minutes in a set limited by the memory; a request with such an id gets 409. Kept for the platform unless the request was refused, on routes if its client left without an answer.

--- a/crates/front-http/src/lib.rs
+++ b/crates/front-http/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod head;
 mod open_ids;
+mod recent_ids;
 mod reclaim;
 mod rejection;
 mod request;
--- a/crates/front-http/src/request.rs
+++ b/crates/front-http/src/request.rs
@@ -5,7 +5,7 @@
 
 use crate::buffered_body::{BodyError, read_body};
 use crate::head::{declared_length, forwarded_headers, host, reject_transfer_encoding, streamed_length};
-use crate::open_ids::{OpenIdGuard, OpenIds};
+use crate::open_ids::{ClientRequestId, IdConflict, KeepId, OpenIdGuard, OpenIds};
 use crate::rejection::{BODY_TOO_LARGE, Rejection, invalid};
 use crate::request_memory::RequestMemory;
 use crate::route_fields::{RequestSources, RouteFields, single_header};
@@ -24,7 +24,7 @@
     BODY_LIMIT, Body, Call, RequestDeadlines, StreamPool, StreamedAnswer, without_connection_headers,
 };
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
 use std::cell::Cell;
@@ -44,7 +44,7 @@
 
 /// Held while a request is open: its id stays reserved and its configuration version in use.
 pub struct RequestGuard {
-    _id: Option<OpenIdGuard>,
+    pub(crate) id: Option<OpenIdGuard>,
     _version: Option<Rc<ConfigVersion>>,
 }
 
@@ -71,7 +71,7 @@
     pool: usize,
     request: BalancerRequest,
     traits: Option<Rc<RequestTraits>>,
-    id: Option<HeaderValue>,
+    id: Option<ClientRequestId>,
     version: Option<Rc<ConfigVersion>>,
     /// The declared length of the body; `None` with chunked encoding.
     declared_length: Option<u64>,
@@ -129,16 +129,18 @@
 }
 
 impl RequestReader {
-    /// `classes` are the platform's classes, empty without a platform; `memory` limits the bodies of open
+    /// `classes` are the platform's classes, empty without a platform; `kept_ids` ids are kept of requests that
+    /// may have run and must not run again; `memory` limits the bodies of open
     /// requests.
     pub fn new(
         pools: Rc<[RunningPool]>,
         classes: Vec<Class>,
         operator: Option<Rc<Operator>>,
+        kept_ids: usize,
         memory: Memory,
         stream_pool: StreamPool,
     ) -> RequestReader {
-        RequestReader { pools, classes, operator, open_ids: OpenIds::default(), memory, stream_pool }
+        RequestReader { pools, classes, operator, open_ids: OpenIds::new(kept_ids), memory, stream_pool }
     }
 
     /// Reads and validates a request.
@@ -217,7 +219,7 @@
             pool: 0,
             request,
             traits: None,
-            id: Some(id),
+            id: Some(ClientRequestId { value: id, keep: KeepId::for_platform(class_info.effect) }),
             version: None,
             declared_length: Some(declared_length),
             limit: BODY_LIMIT as u64,
@@ -283,6 +285,7 @@
             return Err(invalid("Idempotency-Key is missing, or is there twice\n"));
         }
         let id = head.headers.get(TRACE_ID).filter(|id| !id.is_empty()).cloned();
+        let id = id.map(|value| ClientRequestId { value, keep: KeepId::for_route(class) });
         let class_wait = wait_duration(matched.effective.deadline_ms.value);
         let request = BalancerRequest {
             id: RequestId(0),
@@ -378,7 +381,7 @@
             }
         };
         // The id is reserved only now: a client that delays its body must not hold one.
-        let guard = RequestGuard { _id: self.open_id(id)?, _version: version };
+        let guard = RequestGuard { id: self.open_id(id)?, _version: version };
         let call = Call {
             method,
             target,
@@ -394,14 +397,15 @@
         Ok(ParsedRequest { pool, request, traits, call, deadlines, upload: None, guard })
     }
 
-    fn open_id(&self, id: Option<HeaderValue>) -> Result<Option<OpenIdGuard>, Rejection> {
-        match id.map(|id| self.open_ids.open(id)) {
-            Some(None) => {
-                Err(Rejection::Invalid(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"))
-            }
-            Some(id) => Ok(id),
-            None => Ok(None),
-        }
+    fn open_id(&self, id: Option<ClientRequestId>) -> Result<Option<OpenIdGuard>, Rejection> {
+        let opened = id.map(|id| self.open_ids.open(id)).transpose();
+        opened.map_err(|conflict| {
+            let text = match conflict {
+                IdConflict::Open => "an open request has this X-Trace-Id\n",
+                IdConflict::MayHaveRun => "a request with this X-Trace-Id may have run\n",
+            };
+            Rejection::Invalid(StatusCode::CONFLICT, text)
+        })
     }
 
     /// Completes a request with a streamed body or answer. Memory is reserved now, so that no stream starts
@@ -443,7 +447,7 @@
             return Err(BODY_TOO_LARGE);
         }
         let reservation = self.memory.reserve_stream().map_err(|_| Rejection::Overloaded)?;
-        let guard = RequestGuard { _id: self.open_id(id)?, _version: version };
+        let guard = RequestGuard { id: self.open_id(id)?, _version: version };
         let (writer, reader) = self.stream_pool.open(stream_limits, reservation);
         let call = Call {
             method,
--- a/crates/front-http/src/response.rs
+++ b/crates/front-http/src/response.rs
@@ -3,6 +3,7 @@
 use crate::body::OutgoingBody;
 use crate::client::BusyGuard;
 use crate::rejection::{NodeResponse, plain};
+use crate::request::RequestGuard;
 use crate::upload::Upload;
 use applemill_ledger::Answer;
 use applemill_upstream::{PendingAnswer, Reply, ReplyBody};
@@ -18,6 +19,7 @@
 pub(crate) async fn answer_during_upload(
     pending_answer: PendingAnswer,
     upload: Upload,
+    guard: &RequestGuard,
     unread_timeout: Option<Duration>,
 ) -> NodeResponse<BusyGuard> {
     let mut answer = pin!(pending_answer.answer());
@@ -35,12 +37,12 @@
             };
             match end {
                 Ok(Ok(Err(rejection))) => return rejection.into(),
-                Ok(_) => return to_response(answer.await, unread_timeout),
+                Ok(_) => return to_response(answer.await, guard, unread_timeout),
                 Err(answered) => answered,
             }
         }
     };
-    let mut response = to_response(answered, unread_timeout);
+    let mut response = to_response(answered, guard, unread_timeout);
     // The body was not read to its end: what follows on the connection is not a request.
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
@@ -50,8 +52,15 @@
 /// `unread_timeout`.
 pub(crate) fn to_response(
     answer: Answer<Reply>,
+    guard: &RequestGuard,
     unread_timeout: Option<Duration>,
 ) -> NodeResponse<BusyGuard> {
+    if let Some(id) = &guard.id {
+        match answer {
+            Answer::Refused { .. } => id.set_refused(),
+            Answer::Served(_) | Answer::Failed => id.set_answered(),
+        }
+    }
     match answer {
         Answer::Served(reply) => {
             let mut response = Response::new(match reply.body {
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -407,12 +407,16 @@
             return Rejection::Overloaded.into();
         };
         let unread_timeout = call.answer.as_ref().and_then(StreamedAnswer::unread_timeout);
+        if let Some(id) = &guard.id {
+            id.set_submitted();
+        }
         let pending_answer = pool.driver.submit(request, traits, call, deadlines);
-        let response = match upload {
-            None => to_response(pending_answer.answer().await, unread_timeout),
+        match upload {
+            None => to_response(pending_answer.answer().await, &guard, unread_timeout),
             Some(upload) => {
                 let chunked = upload.chunked;
-                let mut response = answer_during_upload(pending_answer, upload, unread_timeout).await;
+                let mut response =
+                    answer_during_upload(pending_answer, upload, &guard, unread_timeout).await;
                 if chunked {
                     // A request that also declared a length cannot be told from this one (RFC 9112, 6.1):
                     // read no further request from the connection.
@@ -420,9 +424,7 @@
                 }
                 response
             }
-        };
-        drop(guard);
-        response
+        }
     }
 }
 
--- a/crates/node/src/memory_limits.rs
+++ b/crates/node/src/memory_limits.rs
@@ -10,6 +10,10 @@
 const BUFFER_MEMORY_DIVISOR: usize = 4;
 /// Connections of clients may take one part in this many.
 const CLIENT_MEMORY_DIVISOR: usize = 3;
+/// Ids of requests that must not run again may take one part in this many.
+const KEPT_ID_MEMORY_DIVISOR: usize = 64;
+/// What an id that is kept takes.
+const KEPT_ID_BYTES: usize = 40;
 /// Smallest read buffer of a connection: a request head must fit.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Largest read buffer of a connection: more than a body is of no use.
@@ -29,6 +33,8 @@
     pub buffer_bytes: usize,
     /// How many clients may be connected.
     pub max_clients: usize,
+    /// How many ids are kept of requests that must not run again.
+    pub kept_ids: usize,
     /// What heads and buffered bodies of requests may take.
     pub request_bytes: usize,
     /// What answers may take that clients have not read yet.
@@ -45,6 +51,7 @@
         MemoryLimits {
             buffer_bytes,
             max_clients: (memory_bytes / CLIENT_MEMORY_DIVISOR / client_bytes).max(MIN_CLIENTS),
+            kept_ids: memory_bytes / KEPT_ID_MEMORY_DIVISOR / KEPT_ID_BYTES,
             request_bytes: (memory_bytes / REQUEST_MEMORY_DIVISOR).max(BODY_LIMIT),
             answer_bytes: (memory_bytes / ANSWER_MEMORY_DIVISOR).max(BODY_LIMIT),
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -324,7 +324,8 @@
         max_directions: 2 * setup.streams.max_streams,
     });
     let certificates = certificate_manager.zip(tls);
-    let reader = RequestReader::new(pools.clone(), classes, operator, memory, stream_pool);
+    let reader =
+        RequestReader::new(pools.clone(), classes, operator, memory_limits.kept_ids, memory, stream_pool);
     let server = Server::new(
         pools.clone(),
         reader,
