Begin nothing for clients that have gone behind much unread data

Cause: the end of the connection stands behind bytes that the system has no room for, and shows as a reset once an answer is written; the next request began in the same turn, and the next attempt of a request whose first one had failed began without any sign.

Change: a request that was sent before the last answer waits until 5 ms after it and begins if the connection still stands; while more is unread than the request served, no further attempt of it begins (Input::NotReplayable also for complete bodies).

--- a/crates/front-http/src/client.rs
+++ b/crates/front-http/src/client.rs
@@ -26,6 +26,9 @@
 const UNREAD_AFTER: Duration = Duration::from_millis(250);
 /// How often an open request's client is checked for having gone: nothing may begin 100 ms after that.
 const GONE_CHECK_INTERVAL: Duration = Duration::from_millis(30);
+/// How long a request waits after the answer to the one before it if both were sent together: a client that has
+/// closed the connection resets it meanwhile.
+const PIPELINED_DELAY: Duration = Duration::from_millis(5);
 /// How many characters of a request's id are kept for the log.
 const MAX_LOGGED_ID_CHARS: usize = 64;
 
@@ -99,6 +102,8 @@
     pub(crate) returning: RefCell<Option<ReturningClient>>,
     returning_clients: Rc<Cell<usize>>,
     pub(crate) idle_since: Cell<Instant>,
+    /// More had come when the last answer was handed over.
+    had_unread: Cell<bool>,
     /// When an incomplete request was first seen.
     stalled_since: Cell<Option<Instant>>,
     /// The last answer was sent; the rest of the input is read and discarded.
@@ -134,6 +139,7 @@
             returning: RefCell::default(),
             returning_clients,
             idle_since: Cell::new(Instant::now()),
+            had_unread: Cell::new(false),
             stalled_since: Cell::new(None),
             finished: Cell::new(false),
             close: Notify::new(),
@@ -190,6 +196,28 @@
         }
     }
 
+    /// Waits until more has come than the request that is served, and was not read: the end of the connection may
+    /// stand behind it, where it is not seen.
+    pub(crate) async fn has_hidden_end(&self) {
+        loop {
+            tokio::time::sleep(GONE_CHECK_INTERVAL).await;
+            if self.socket.may_have_unread() && !self.socket.is_quiet() {
+                return;
+            }
+        }
+    }
+
+    /// Waits before a request that was sent before the last answer. With much unread, the end of a connection is
+    /// not seen until an answer has reached the client that is gone. Returns whether the client is still there.
+    pub(crate) async fn remains_after_last_answer(&self) -> bool {
+        let Some(last_written) = self.socket.last_written() else { return true };
+        let was_sent_before = self.had_unread.get() || !self.socket.has_read_since_write();
+        if was_sent_before {
+            tokio::time::sleep_until((last_written + PIPELINED_DELAY).into()).await;
+        }
+        !was_sent_before || !self.socket.peer_has_closed()
+    }
+
     /// Logs why the connection ends. Only failures that no client causes are more than details.
     pub(crate) fn log_close(&self, reason: &CloseReason) {
         let last_request = self.last_request.borrow();
@@ -295,6 +323,7 @@
         self.0.busy.set(false);
         self.0.receiving.set(false);
         self.0.idle_since.set(Instant::now());
+        self.0.had_unread.set(self.0.socket.may_have_unread());
         self.0.socket.expect_message();
     }
 }
--- a/crates/front-http/src/response.rs
+++ b/crates/front-http/src/response.rs
@@ -1,7 +1,7 @@
 //! Turns the answer of a pool to the response for a client.
 
 use crate::body::OutgoingBody;
-use crate::client::BusyGuard;
+use crate::client::{BusyGuard, Client};
 use crate::rejection::{NodeResponse, plain};
 use crate::request::RequestGuard;
 use crate::upload::Upload;
@@ -15,6 +15,19 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
+/// Waits for the answer to a request that has come as a whole. No attempt begins for a client that has sent
+/// more than this request, since it may be gone without a sign.
+pub(crate) async fn buffered_answer(client: &Client, pending_answer: PendingAnswer) -> Answer<Reply> {
+    let stop_attempts = pending_answer.attempt_stopper();
+    let mut answer = pin!(pending_answer.answer());
+    tokio::select! {
+        biased;
+        answered = answer.as_mut() => return answered,
+        () = client.has_hidden_end() => stop_attempts(),
+    }
+    answer.await
+}
+
 /// Waits for the answer to a request while its body is uploaded.
 pub(crate) async fn answer_during_upload(
     pending_answer: PendingAnswer,
--- a/crates/front-http/src/server.rs
+++ b/crates/front-http/src/server.rs
@@ -5,7 +5,7 @@
 use crate::reclaim;
 use crate::rejection::{NodeResponse, Rejection, closing_response, node_response};
 use crate::request::{ParsedRequest, RequestReader};
-use crate::response::{answer_during_upload, to_response};
+use crate::response::{answer_during_upload, buffered_answer, to_response};
 use applemill_operator::RunningPool;
 use applemill_socket::{
     ClientIdentity, DescriptorPermit, Descriptors, Layer, OpenedConnection, Socket, Stream,
@@ -339,6 +339,9 @@
         caller: Option<&ClientIdentity>,
     ) -> NodeResponse<BusyGuard> {
         let arrived = Instant::now();
+        if !client.remains_after_last_answer().await {
+            return client_gone();
+        }
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let page = || self.pages.as_ref().and_then(|pages| pages(path));
@@ -353,8 +356,8 @@
                 Ok(parsed) => tokio::select! {
                     biased;
                     // Nothing reads this answer; dropping the other branch gives up the request.
-                    () = client.gone() => closing_response(StatusCode::BAD_REQUEST, "the client has gone\n"),
-                    response = self.forward(parsed) => response,
+                    () = client.gone() => client_gone(),
+                    response = self.forward(client, parsed) => response,
                 },
                 Err(rejection) => rejection.into(),
             }
@@ -400,6 +403,7 @@
 
     async fn forward(
         &self,
+        client: &Client,
         ParsedRequest { pool, request, traits, call, deadlines, upload, guard }: ParsedRequest,
     ) -> NodeResponse<BusyGuard> {
         let open: usize = self.pools.iter().map(|p| p.driver.open()).sum();
@@ -412,7 +416,10 @@
         }
         let pending_answer = pool.driver.submit(request, traits, call, deadlines);
         match upload {
-            None => to_response(pending_answer.answer().await, &guard, unread_timeout),
+            None => {
+                let answer = buffered_answer(client, pending_answer).await;
+                to_response(answer, &guard, unread_timeout)
+            }
             Some(upload) => {
                 let chunked = upload.chunked;
                 let mut response =
@@ -428,6 +435,11 @@
     }
 }
 
+/// The response to a request whose client has gone. Nothing reads it.
+fn client_gone() -> NodeResponse<BusyGuard> {
+    closing_response(StatusCode::BAD_REQUEST, "the client has gone\n")
+}
+
 /// Reads and discards what a client still sends after its last answer, for a limited time.
 async fn discard_input(client: &Client) {
     client.finished.set(true);
--- a/crates/ledger/src/interface.rs
+++ b/crates/ledger/src/interface.rs
@@ -113,7 +113,8 @@
     },
     /// The client has left, or needs no answer any more.
     ClientLeft(RequestId),
-    /// Part of the request's body is no longer buffered: the request cannot be sent again.
+    /// No attempt of the request may begin any more: part of its body is no longer buffered, or the end of its
+    /// client could not be seen.
     NotReplayable(RequestId),
     /// An event on a connection. Events on a connection that the ledger has closed are ignored.
     Conn(ConnId, ConnEvent<R>),
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -35,9 +35,9 @@
     /// The body is still being uploaded, and all of it so far is buffered. The value is how long the client
     /// waits after the last byte was written, in milliseconds.
     Arriving(f64),
-    /// The body is still being uploaded, and part of it is no longer buffered: it cannot be sent again. The
-    /// value is as above.
-    NotReplayable(f64),
+    /// The request may not be sent again: part of its body, which is still being uploaded, is no longer
+    /// buffered, or its front has forbidden it. The value is as above; none if the body is complete.
+    NotReplayable(Option<f64>),
 }
 
 impl Body {
@@ -45,7 +45,8 @@
     pub(crate) fn client_wait_ms(self) -> Option<f64> {
         match self {
             Body::Complete => None,
-            Body::Arriving(ms) | Body::NotReplayable(ms) => Some(ms),
+            Body::Arriving(ms) => Some(ms),
+            Body::NotReplayable(ms) => ms,
         }
     }
 }
@@ -72,7 +73,7 @@
         match self.body {
             Body::Complete => 0_u64.hash(state),
             Body::Arriving(ms) => (1, ms.to_bits()).hash(state),
-            Body::NotReplayable(ms) => (2, ms.to_bits()).hash(state),
+            Body::NotReplayable(ms) => (2, ms.map(f64::to_bits)).hash(state),
         }
         (&self.attempts, self.fault_context.trial_token).hash(state);
     }
@@ -225,10 +226,8 @@
             }
             Input::ClientLeft(id) => self.client_left(id, out),
             Input::NotReplayable(id) => {
-                if let Some(open) = self.open.get_mut(&id)
-                    && let Body::Arriving(ms) = open.body
-                {
-                    open.body = Body::NotReplayable(ms);
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.body = Body::NotReplayable(open.body.client_wait_ms());
                 }
             }
             Input::Conn(conn, event) => self.on_conn_event(conn, event, out),
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -356,6 +356,21 @@
     }
 }
 
+#[test]
+fn no_attempt_of_a_request_begins_after_its_front_has_forbidden_it() {
+    for forbidden in [false, true] {
+        let mut fixture = Fixture::new();
+        fixture.update_list(vec![target(2, address(2), Health::Up)]);
+        fixture.arrive(0, 0);
+        if forbidden {
+            fixture.handle(Input::NotReplayable(RequestId(0)));
+        }
+        let out = fixture.conn_event(0, ConnEvent::Disconnected);
+        assert_eq!(out.iter().any(|e| matches!(e, Effect::Dial(..))), !forbidden, "{forbidden}: {out:?}");
+        assert_eq!(answers(&out).len(), usize::from(forbidden), "answered at once, unless retried");
+    }
+}
+
 #[test]
 fn a_partly_written_request_is_retried_where_backends_act_on_complete_requests_only() {
     for (acts_on_partial, received, retried) in [
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -18,7 +18,7 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 use system_errors::CallRetry;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -146,6 +146,8 @@
     message_began: Cell<Option<Instant>>,
     /// When bytes were last written.
     last_written: Cell<Option<Instant>>,
+    /// Bytes were read after the last write.
+    read_since_write: Cell<bool>,
     /// The last write had to wait: the other side does not read what was written before.
     write_waits: Cell<bool>,
     /// The system's error that the connection failed with.
@@ -170,6 +172,7 @@
             writes: CallRetry::default(),
             message_began: Cell::new(None),
             last_written: Cell::new(None),
+            read_since_write: Cell::new(false),
             write_waits: Cell::new(false),
             failure: Cell::new(None),
             _permit: permit,
@@ -191,6 +194,16 @@
         self.0.last_written.get()
     }
 
+    /// Whether bytes were read after the last write.
+    pub fn has_read_since_write(&self) -> bool {
+        self.0.read_since_write.get()
+    }
+
+    /// Whether there may be unread bytes, as far as the poller knows.
+    pub fn may_have_unread(&self) -> bool {
+        self.poll_readiness().is_some()
+    }
+
     /// Whether there is more to write, and the other side does not read what was written before.
     pub fn write_waits(&self) -> bool {
         self.0.write_waits.get()
@@ -204,7 +217,10 @@
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         self.0.write_waits.set(written.is_pending());
         match written {
-            Poll::Ready(Ok(_)) => self.0.last_written.set(Some(Instant::now())),
+            Poll::Ready(Ok(_)) => {
+                self.0.last_written.set(Some(Instant::now()));
+                self.0.read_since_write.set(false);
+            }
             Poll::Ready(Err(e)) => self.record_failure(e),
             Poll::Pending => {}
         }
@@ -250,9 +266,16 @@
     /// Whether the poller has seen that the other side closed the connection or its sending. Bytes that are
     /// still unread do not hide it.
     pub fn peer_has_closed(&self) -> bool {
+        self.poll_readiness().is_some_and(|ready| ready.is_read_closed())
+    }
+
+    /// What the poller knows about reading; `None` if nothing has come since the last read that would block.
+    fn poll_readiness(&self) -> Option<Ready> {
         let ready = pin!(self.0.stream.ready(Interest::READABLE));
-        let polled = ready.poll(&mut Context::from_waker(Waker::noop()));
-        matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(ready) => ready.ok(),
+            Poll::Pending => None,
+        }
     }
 
     /// Reads what is there. A short read does not mean that nothing is left: the socket counts as readable
@@ -305,8 +328,11 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let bytes_read = ready!(self.poll_read_buf(cx, buf))?;
-        if bytes_read > 0 && self.0.message_began.get().is_none() {
-            self.0.message_began.set(Some(Instant::now()));
+        if bytes_read > 0 {
+            self.0.read_since_write.set(true);
+            if self.0.message_began.get().is_none() {
+                self.0.message_began.set(Some(Instant::now()));
+            }
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -9,6 +9,7 @@
 use crate::conn::{Conn, ExchangeError, OutgoingRequest};
 use crate::exchange_log::ExchangeLog;
 use crate::peers::Peers;
+use crate::pending_answer::PendingAnswer;
 use crate::pipe::{StreamPool, StreamWriter};
 use crate::streamed::{AnswerSink, ExchangeEnd};
 use applemill_balancer::Balancer;
@@ -35,27 +36,6 @@
 pub type Input = applemill_ledger::Input<AnswerSender, Rc<Call>, Reply>;
 type DriverEffect = Effect<AnswerSender, Rc<Call>, Reply>;
 
-/// Waits for the answer to a submitted request. Dropping it before the answer reports that the client has
-/// left.
-pub struct PendingAnswer {
-    driver: Rc<Driver>,
-    id: RequestId,
-    answer: oneshot::Receiver<Answer<Reply>>,
-}
-
-impl PendingAnswer {
-    /// Waits for the answer.
-    pub async fn answer(mut self) -> Answer<Reply> {
-        (&mut self.answer).await.unwrap_or(Answer::Failed)
-    }
-}
-
-impl Drop for PendingAnswer {
-    fn drop(&mut self) {
-        self.driver.handle(Input::ClientLeft(self.id));
-    }
-}
-
 /// The state of a connection.
 enum ConnState {
     /// A task uses the connection; aborting the task closes it.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange_log;
 pub mod headers;
 mod peers;
+mod pending_answer;
 mod pipe;
 mod streamed;
 
@@ -21,6 +22,7 @@
 };
 pub use clock::Clock;
 pub use discovery::{DiscoveryWatch, parse_listing};
-pub use driver::{Driver, Input, PendingAnswer, PoolKind, RequestDeadlines, SharedResources};
+pub use driver::{Driver, Input, PoolKind, RequestDeadlines, SharedResources};
 pub use peers::Peers;
+pub use pending_answer::PendingAnswer;
 pub use pipe::{ReaderGone, Replay, StreamItem, StreamPool, StreamReader, StreamWriter};
