Take a server in another zone or cell for another process

Cause: only the address and the time of start told processes apart. A start that became known, before that of the node's machine, was not later than 0 either, which stands for a time before all others.

Change: `Addresses` compares zone and cell too, and takes 0 for a time before all others.

--- a/crates/ledger/src/addresses.rs
+++ b/crates/ledger/src/addresses.rs
@@ -1,17 +1,27 @@
 //! The addresses of the backends, by the latest list from discovery.
 
 use crate::interface::Target;
-use applemill_balancer::interface::{BackendId, Health, ListKind};
+use applemill_balancer::interface::{BackendId, Entry, Health, ListKind, ZoneId};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
+/// Where the process of a backend is, and when it started. What differs is another process.
 #[derive(Clone, Debug)]
 struct Location {
     address: SocketAddr,
+    zone: Option<ZoneId>,
+    cell: Option<u32>,
     ready_at_ms: f64,
 }
 
+impl Location {
+    /// When the process started; 0 in a list stands for a time before all others.
+    fn started_ms(&self) -> f64 {
+        if self.ready_at_ms == 0.0 { f64::NEG_INFINITY } else { self.ready_at_ms }
+    }
+}
+
 /// The backends that are up. A backend that drains or was removed has no address here.
 #[derive(Clone, Debug, Default)]
 pub struct Addresses(BTreeMap<BackendId, Location>);
@@ -29,8 +39,8 @@
 
     /// Hashes the whole state.
     pub fn digest<H: Hasher>(&self, state: &mut H) {
-        for (id, Location { address, ready_at_ms }) in &self.0 {
-            (id, address, ready_at_ms.to_bits()).hash(state);
+        for (id, Location { address, zone, cell, ready_at_ms }) in &self.0 {
+            (id, address, zone, cell, ready_at_ms.to_bits()).hash(state);
         }
     }
 
@@ -40,7 +50,7 @@
     }
 
     /// Applies a list and returns the backends whose existing connections are unusable: those that drain,
-    /// were removed, have moved or have restarted.
+    /// were removed, have moved to another address, zone or cell, or have restarted.
     pub fn apply(&mut self, kind: ListKind, targets: &[Target]) -> Vec<BackendId> {
         let before = std::mem::take(&mut self.0);
         if !matches!(kind, ListKind::Full | ListKind::Saved) {
@@ -50,7 +60,8 @@
             let address = address.or_else(|| before.get(&entry.backend).map(|location| location.address));
             match address.filter(|_| entry.health == Health::Up) {
                 Some(address) => {
-                    self.0.insert(entry.backend, Location { address, ready_at_ms: entry.ready_at_ms });
+                    let Entry { backend, zone, cell, ready_at_ms, .. } = *entry;
+                    self.0.insert(backend, Location { address, zone, cell, ready_at_ms });
                 }
                 None => {
                     self.0.remove(&entry.backend);
@@ -59,7 +70,10 @@
         }
         let is_unchanged = |id: &BackendId, old: &Location| {
             self.0.get(id).is_some_and(|location| {
-                location.address == old.address && location.ready_at_ms <= old.ready_at_ms
+                location.address == old.address
+                    && location.zone == old.zone
+                    && location.cell == old.cell
+                    && location.started_ms() <= old.started_ms()
             })
         };
         before.iter().filter(|(id, old)| !is_unchanged(id, old)).map(|(id, _)| *id).collect()
