Use a list that discovery has not confirmed for the drain grace only

Cause: the decisions took every list as good until the next one. While discovery is down it learns nothing, so a list that it has confirmed to this process stays good; one that it has not may be older than what counts as told.

Change: a list is held under a lease (watch-calls, no I/O or clock). Passes of the watch renew it for a confirmed list by four fifths of the grace. At a start, after a move of discovery, and when the lease ran out between two passes, only an answer to a later call confirms the list. Checked by the decisions, by the ledger when a connection comes up, and by the driver right before a request is written.

The tests of told_to_known that jumped ahead by a second now tick in between, as a process does that is not held up; they check what they checked, and that nothing is due in between.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -44,6 +44,7 @@
         match event {
             Event::Start => self.on_start(now, out),
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
+            Event::ListLease { until_ms } => self.list_lease_until_ms = until_ms,
             Event::Request(request) => self.on_request(now, request, out),
             Event::AttemptEnded { .. } => self.on_attempt_ended(now, &event, out),
             Event::ClientLeft(id) => self.on_client_left(id, out),
--- a/crates/balancer/src/balancer/digest.rs
+++ b/crates/balancer/src/balancer/digest.rs
@@ -47,11 +47,12 @@
         let Balancer { failure_rate, in_flight, mean_load, overload_threshold, .. } = self;
         let Balancer { warm_rate_per_s, warm_served_since_tick, warm_rate_window_s, .. } = self;
         let Balancer { announced_senders, last_tick_ms, list_failures, logged_lines, .. } = self;
+        let Balancer { list_lease_until_ms, .. } = self;
         let AnnouncedSenders { nodes, until_ms } = announced_senders;
         (in_flight, list_failures, logged_lines, nodes).hash(state);
         hash_floats(state, [*total, *failure_rate, *mean_load, *overload_threshold]);
         hash_floats(state, [*warm_rate_per_s, *warm_served_since_tick, *warm_rate_window_s]);
-        hash_floats(state, [*until_ms, *last_tick_ms]);
+        hash_floats(state, [*until_ms, *last_tick_ms, *list_lease_until_ms]);
     }
 }
 
--- a/crates/balancer/src/balancer/housekeeping.rs
+++ b/crates/balancer/src/balancer/housekeeping.rs
@@ -58,7 +58,7 @@
 
     /// Sends a probe as a trial to each backend past its PRAT, one at a time.
     fn send_due_probes(&mut self, now: f64, out: &mut Vec<Action>) {
-        if !self.settings.probes {
+        if !self.settings.probes || !self.has_valid_list(now) {
             return;
         }
         for backend in self.backends.iter_mut().filter(|b| b.up && b.record.trial_due(now)) {
--- a/crates/balancer/src/balancer/send_rules.rs
+++ b/crates/balancer/src/balancer/send_rules.rs
@@ -14,6 +14,12 @@
             .is_some_and(|c| c.effect != Effect::Unsafe && c.route.retry_possibly_executed)
     }
 
+    /// Whether the list of backends may still be used: any backend of a list that was not confirmed in time
+    /// may be draining or gone.
+    pub fn has_valid_list(&self, now: f64) -> bool {
+        now <= self.list_lease_until_ms
+    }
+
     /// Whether the four rules allow another attempt of this request at this backend. Checked before every
     /// send, whatever the selection prefers.
     pub(super) fn may_send(&self, now: f64, open: &OpenRequest, index: usize) -> bool {
@@ -24,7 +30,8 @@
         let in_time = !open.finished && now < open.request.deadline_ms;
         let copies_allowed = self.settings.second_copies || !open.has_attempt_in_flight();
         let cold_budget_left = !backend.is_cold(now, &self.settings) || backend.cold_tokens >= 1.0;
-        in_time
+        self.has_valid_list(now)
+            && in_time
             && attempts_left
             && backend.up
             && self.effect_allows(now, open, backend)
--- a/crates/balancer/src/balancer/state.rs
+++ b/crates/balancer/src/balancer/state.rs
@@ -119,6 +119,8 @@
     pub(super) warm_rate_window_s: f64,
     pub(super) announced_senders: AnnouncedSenders,
     pub(super) last_tick_ms: f64,
+    /// When the lease of the list expires; infinite for a list without a lease.
+    pub(super) list_lease_until_ms: f64,
     /// Requests for the list that failed in a row.
     pub(super) list_failures: u32,
     pub(super) logged_lines: u32,
@@ -150,6 +152,7 @@
                 ..Admission::default()
             },
             overload_threshold: HIGH_LOAD,
+            list_lease_until_ms: f64::INFINITY,
             settings,
             ..Balancer::default()
         })
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -429,6 +429,12 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// Until when the list of backends may be used; nothing is sent after it. Without this event a list may
+    /// be used for ever.
+    ListLease {
+        /// When the lease of the list expires.
+        until_ms: f64,
+    },
     /// A new request from a client.
     Request(Request),
     /// The head of a streamed answer has arrived.
--- a/crates/ledger/src/conn_events.rs
+++ b/crates/ledger/src/conn_events.rs
@@ -114,7 +114,7 @@
             (Conn::Dialling(job, timer), ConnEvent::Connected) => {
                 self.timers.cancel(timer);
                 // Where attempts may not be cancelled, the request may be over by now. `redirect_unwritten`
-                // makes sure that the backend is still up.
+                // makes sure that the backend is still up by the list.
                 match self.reason_to_skip(job.purpose) {
                     None => self.send_job(id, job, None, out),
                     Some(outcome) => {
@@ -131,7 +131,7 @@
                 self.end_job(&job, Outcome::NotConnected.into(), out);
             }
             (Conn::InExchange(mut exchange), ConnEvent::Stale)
-                if exchange.idle_ms.is_some() && exchange.written == RequestProgress::Nothing =>
+                if exchange.written == RequestProgress::Nothing =>
             {
                 self.timers.cancel(exchange.timer);
                 self.end_upload(&mut exchange);
@@ -307,9 +307,12 @@
         self.job_ended(job.purpose, job.backend, job.sent_ms, finish, true, out);
     }
 
-    /// Why a job of which nothing was written is not to be sent any more: the request is over, or its body
-    /// cannot be sent again. None if it is to be sent.
+    /// Why a job of which nothing was written is not to be sent any more: the list of backends may not be used
+    /// any more, the request is over, or its body cannot be sent again. None if it is to be sent.
     fn reason_to_skip(&self, purpose: Purpose) -> Option<Outcome> {
+        if !self.has_valid_list(self.now) {
+            return Some(Outcome::Skipped);
+        }
         let Purpose::Attempt(id, _) = purpose else { return None };
         match self.open.get(&id) {
             Some(open) if open.is_answered() => Some(Outcome::NotConnected),
--- a/crates/ledger/src/interface.rs
+++ b/crates/ledger/src/interface.rs
@@ -95,6 +95,9 @@
     Start,
     /// An update of the list of backends.
     List(ListKind, Vec<Target>),
+    /// Until when the list of backends may be used, in milliseconds of the clock. Without this input it may
+    /// be used for ever.
+    ListLease(f64),
     /// A client's request has arrived.
     Arrived {
         /// The request for the decisions, with the deadline by which they must have ended it.
@@ -149,8 +152,9 @@
     Connected,
     /// The backend could not be reached.
     ConnectFailed,
-    /// An idle connection is unusable, as found by a check in the background or just before it was to be
-    /// written on.
+    /// A connection on which nothing was written is not to be used: an idle one was closed by the backend, as
+    /// found by a check in the background or just before a request was to be written, or the list of backends
+    /// has become too old meanwhile.
     Stale,
     /// The progress of the request and its answer. It is reported before any later event.
     Progress(RequestProgress, AnswerProgress),
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -153,6 +153,11 @@
         !self.addresses.is_empty()
     }
 
+    /// Whether the list of backends may be used at the time `now`, in milliseconds of the clock.
+    pub fn has_valid_list(&self, now: f64) -> bool {
+        self.balancer.has_valid_list(now)
+    }
+
     /// Exports what the decisions have learned about backends, for the ledger of a successor process.
     pub fn export_learned(&self) -> LearnedState {
         self.balancer.export_learned()
@@ -200,6 +205,7 @@
         match input {
             Input::Start => self.events.push_back(Event::Start),
             Input::List(kind, targets) => self.apply_list(kind, &targets, out),
+            Input::ListLease(until_ms) => self.events.push_back(Event::ListLease { until_ms }),
             Input::Arrived { mut request, expires_ms, upload_ms, work, call, owed } => {
                 let id = request.id;
                 if self.stopped || self.open.contains_key(&id) {
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -17,7 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::LocalSet;
 use tracing::error;
 
@@ -307,6 +307,7 @@
     take_over_from: Option<&Path>,
     LogArgs { log_format, log_level }: LogArgs,
 ) -> ExitCode {
+    let process_started = Instant::now();
     let (format, level) = match (
         argument_or_variable(log_format, "LB_LOG_FORMAT"),
         argument_or_variable(log_level, "LB_LOG_LEVEL"),
@@ -322,7 +323,7 @@
         Err(e) => return refuse(&e.to_string()),
     };
     let _log = applemill_log::start(format, level);
-    block_on(async { serve::run(setup, take_over_from).await.map(|()| true) })
+    block_on(async { serve::run(setup, process_started, take_over_from).await.map(|()| true) })
 }
 
 /// Replaces this process by another program in the same folder. The program is separate so that a node does
--- a/crates/node/src/pools.rs
+++ b/crates/node/src/pools.rs
@@ -10,8 +10,8 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
 
 /// What all pools share at their start.
 pub struct PoolContext {
@@ -19,6 +19,8 @@
     pub shared: Rc<SharedResources>,
     /// Seed of the random numbers in decisions.
     pub seed: u64,
+    /// When this process started. What discovery has counts as told from then on.
+    pub process_started: Instant,
     /// The fleet, which tells how many nodes may send to cold servers.
     pub fleet: Option<Rc<FleetNode>>,
 }
@@ -82,10 +84,11 @@
             let descriptors = context.shared.descriptors.clone();
             let timing = match mode {
                 Discovery::Pushed => CallTiming::pushed(grace_ms, context.call_spread()),
-                Discovery::OnRequest => CallTiming::on_request(),
+                Discovery::OnRequest => CallTiming::on_request(grace_ms),
             };
-            let watch = DiscoveryWatch { address, mode, timing, descriptors, watch_requests };
-            spawn_local(watch.run(driver.clone()));
+            let held_since = context.process_started;
+            let watch = DiscoveryWatch { address, mode, timing, descriptors, watch_requests, held_since };
+            watch.start(driver.clone());
             Some(address_sender)
         }
         Source::Static(targets) => {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -179,11 +179,16 @@
 }
 
 /// Runs a node until it is told to stop, or another process takes over from it. If `take_over_from` names a
-/// socket, the node first takes over from the node that listens there.
+/// socket, the node first takes over from the node that listens there. `process_started` is when the program
+/// began.
 ///
 /// # Errors
 /// The node cannot start: an address is in use, a setting is out of its range, or the takeover fails.
-pub async fn run(setup: Setup, take_over_from: Option<&Path>) -> Result<(), Box<dyn Error>> {
+pub async fn run(
+    setup: Setup,
+    process_started: Instant,
+    take_over_from: Option<&Path>,
+) -> Result<(), Box<dyn Error>> {
     // First of all, as these signals end the process by default.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
@@ -253,7 +258,7 @@
         buffer: memory_limits.buffer_bytes,
         limits,
     });
-    let context = PoolContext { shared, seed: setup.seed, fleet: fleet.clone() };
+    let context = PoolContext { shared, seed: setup.seed, process_started, fleet: fleet.clone() };
     let (mut pools, mut address_senders) = (Vec::new(), Vec::new());
     for (pool, number) in setup.pools.into_iter().zip(0..) {
         let (pool, address_sender) = start_pool(pool, number, &context)?;
--- a/crates/upstream/src/discovery.rs
+++ b/crates/upstream/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
 use tracing::{info, warn};
 
 /// A list from discovery, or the one in the configuration.
@@ -95,37 +96,28 @@
     pub descriptors: Rc<Descriptors>,
     /// Whether the balancer wants to watch, with [`Discovery::OnRequest`].
     pub watch_requests: mpsc::UnboundedReceiver<bool>,
+    /// Since when the node has held the list that it starts with.
+    pub held_since: Instant,
 }
 
 impl DiscoveryWatch {
-    /// Runs until the driver is gone.
-    pub async fn run(self, driver: Rc<Driver>) {
-        let DiscoveryWatch { mut address, mode, timing, descriptors, mut watch_requests } = self;
-        let mut caller = Caller {
+    /// Starts the watch, in a task that runs until the driver is gone. From now on the driver's list is under
+    /// a lease.
+    pub fn start(self, driver: Rc<Driver>) {
+        let DiscoveryWatch { mut address, mode, timing, descriptors, watch_requests, held_since } = self;
+        let caller = Caller {
             at: *address.borrow_and_update(),
             mode,
             boot_times: BootTimes::new(driver.clock.reading()),
-            calls: WatchCalls::new(timing),
+            calls: WatchCalls::new(timing, driver.clock.at_ms(held_since)),
             tasks: CallTasks::new(descriptors),
             failing: false,
             wanted: mode == Discovery::Pushed,
+            list_expired: false,
             driver,
         };
-        loop {
-            while let Ok(wanted) = watch_requests.try_recv() {
-                caller.wanted = wanted;
-            }
-            let due = caller.start_due_calls();
-            tokio::select! {
-                Some(end) = caller.tasks.next_end() => caller.handle(end),
-                () = sleep_until(due) => {}
-                request = watch_requests.recv(), if mode == Discovery::OnRequest => match request {
-                    Some(wanted) => caller.wanted = wanted,
-                    None => return,
-                },
-                Ok(()) = address.changed() => caller.move_to(*address.borrow_and_update()),
-            }
-        }
+        caller.pass_on_lease();
+        spawn_local(caller.run(address, watch_requests));
     }
 }
 
@@ -148,10 +140,36 @@
     failing: bool,
     /// Whether to call at all.
     wanted: bool,
+    /// The lease of the list has expired, which has been logged.
+    list_expired: bool,
     driver: Rc<Driver>,
 }
 
 impl Caller {
+    async fn run(
+        mut self,
+        mut address: watch::Receiver<SocketAddr>,
+        mut watch_requests: mpsc::UnboundedReceiver<bool>,
+    ) {
+        let caller = &mut self;
+        let mode = caller.mode;
+        loop {
+            while let Ok(wanted) = watch_requests.try_recv() {
+                caller.wanted = wanted;
+            }
+            let due = caller.start_due_calls();
+            tokio::select! {
+                Some(end) = caller.tasks.next_end() => caller.handle(end),
+                () = sleep_until(due) => {}
+                request = watch_requests.recv(), if mode == Discovery::OnRequest => match request {
+                    Some(wanted) => caller.wanted = wanted,
+                    None => return,
+                },
+                Ok(()) = address.changed() => caller.move_to(*address.borrow_and_update()),
+            }
+        }
+    }
+
     /// Starts and drops calls, and returns when to do so again; `None` if nothing is planned.
     fn start_due_calls(&mut self) -> Option<Instant> {
         let clock = self.driver.clock;
@@ -162,12 +180,33 @@
             match step {
                 Step::Start(id, after) => self.tasks.start(id, self.at, after, self.calls.wait_ms()),
                 Step::Drop(id) => self.drop_call(id),
+                Step::Discard(id) => {
+                    self.tasks.abort(id);
+                }
             }
         }
+        self.pass_on_lease();
+        self.report_expiry();
         let due = self.calls.due(self.wanted);
         due.is_finite().then(|| clock.instant(due))
     }
 
+    /// Tells the driver until when it may use its list.
+    fn pass_on_lease(&self) {
+        self.driver.handle(Input::ListLease(self.calls.lease().expires_ms()));
+    }
+
+    /// Logs that no server is used any more until discovery answers, and later that it has.
+    fn report_expiry(&mut self) {
+        let has_expired = self.driver.clock.now_ms() > self.calls.lease().expires_ms();
+        if has_expired && !self.list_expired {
+            warn!("discovery: the list is not confirmed in time: no server is used until it is");
+        } else if !has_expired && self.list_expired {
+            info!("discovery: the list is confirmed");
+        }
+        self.list_expired = has_expired;
+    }
+
     fn drop_call(&mut self, id: CallId) {
         if self.tasks.abort(id) {
             self.report_failure("no answer in time");
@@ -199,6 +238,7 @@
         }
         self.convert_boot_times(&mut listing);
         self.pass_on(listing, list_use);
+        self.pass_on_lease();
     }
 
     /// Converts the times at which backends booted from Unix time to the driver's clock.
@@ -263,9 +303,10 @@
     fn move_to(&mut self, at: SocketAddr) {
         if self.at != at {
             self.at = at;
-            self.calls.restart();
+            self.calls.restart(self.driver.clock.now_ms());
             self.tasks.abort_all();
             self.wanted = true;
+            self.pass_on_lease();
         }
     }
 }
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -193,6 +193,11 @@
         self.ledger.borrow().is_ready()
     }
 
+    /// Whether the list of backends may still be used.
+    fn has_valid_list(&self) -> bool {
+        self.ledger.borrow().has_valid_list(self.clock.now_ms())
+    }
+
     /// When the longest idle connection became idle, in milliseconds of the clock.
     pub fn oldest_idle_since_ms(&self) -> Option<f64> {
         self.ledger.try_borrow().ok()?.oldest_idle_since_ms()
@@ -334,6 +339,9 @@
         let is_probe = matches!(payload, Payload::Probe);
         let report = TaskReport::new(self, conn);
         let task = spawn_local(async move {
+            if !report.driver.has_valid_list() {
+                return report.end(ConnEvent::Stale);
+            }
             let progress = |sent, received| {
                 report.driver.handle(Input::Conn(conn, ConnEvent::Progress(sent, received)));
             };
@@ -369,6 +377,9 @@
         let report = TaskReport::new(self, conn);
         let task = spawn_local(async move {
             let driver = report.driver.clone();
+            if !driver.has_valid_list() {
+                return report.end(ConnEvent::Stale);
+            }
             let progress = |sent, received| {
                 driver.handle(Input::Conn(conn, ConnEvent::Progress(sent, received)));
             };
--- a/crates/watch-calls/src/lib.rs
+++ b/crates/watch-calls/src/lib.rs
@@ -7,9 +7,11 @@
 //! every node asks one service for, there is one call at a time, as each one loads that service.
 
 mod boot_times;
+mod list_lease;
 mod timing;
 
 pub use boot_times::{BootTimes, ClockReading};
+pub use list_lease::ListLease;
 pub use timing::CallTiming;
 
 /// Time in milliseconds of a monotonic clock.
@@ -36,6 +38,8 @@
     Start(CallId, Option<u64>),
     /// Drop a call and its connection.
     Drop(CallId),
+    /// Drop a call that has not failed: its answer would be of no use.
+    Discard(CallId),
 }
 
 /// What an answer says of its list.
@@ -86,11 +90,13 @@
     last_start: Ms,
     /// No call starts before this.
     not_before: Ms,
+    /// Until when the list that the node has may be used.
+    lease: ListLease,
 }
 
 impl WatchCalls {
-    /// No call is open, and the node has no list yet.
-    pub fn new(timing: CallTiming) -> WatchCalls {
+    /// No call is open. The node has held its list, which may be one that it has stored, since `held_since`.
+    pub fn new(timing: CallTiming, held_since: Ms) -> WatchCalls {
         WatchCalls {
             timing,
             open: Vec::new(),
@@ -101,17 +107,21 @@
             calls_since_answer: 0,
             last_start: Ms::NEG_INFINITY,
             not_before: Ms::NEG_INFINITY,
+            lease: ListLease::unconfirmed(held_since, timing.lease_ms),
         }
     }
 
     /// Drops what is due, and starts what is due if calls are `wanted`. To be called after each report, and at
     /// [`Self::due`].
     pub fn tick(&mut self, now: Ms, wanted: bool) -> Vec<Step> {
+        let mut steps = self.renew_lease(now);
         let timing = self.timing;
         let expired = self.open.iter().filter(|call| now >= timing.expires(call));
-        let mut steps: Vec<Step> = expired.map(|call| Step::Drop(call.id)).collect();
+        let failed: Vec<Step> = expired.map(|call| Step::Drop(call.id)).collect();
         self.open.retain(|call| now < timing.expires(call));
-        if timing.join_ms.is_none() && !steps.is_empty() {
+        let has_failed = !failed.is_empty();
+        steps.extend(failed);
+        if timing.join_ms.is_none() && has_failed {
             // The failure is reported first: whether to call again is not decided here.
             self.calls_since_answer = 0;
             return steps;
@@ -126,11 +136,23 @@
         steps
     }
 
+    /// Renews the lease of the list. Discards the calls whose answers cannot confirm the list any more.
+    fn renew_lease(&mut self, now: Ms) -> Vec<Step> {
+        self.lease.observe(now);
+        let lease = self.lease;
+        let outdated = self.open.iter().filter(|call| lease.is_outdated(call.started));
+        let steps = outdated.map(|call| Step::Discard(call.id)).collect();
+        self.open.retain(|call| !lease.is_outdated(call.started));
+        steps
+    }
+
     fn start(&mut self, now: Ms) -> Step {
         self.calls += 1;
         let id = CallId(self.calls);
-        // A service that does not answer a watch may come back with other revisions.
-        let after = self.revision.filter(|_| self.calls_since_answer == 0);
+        // A service that does not answer a watch may come back with other revisions, and a watch without news
+        // is answered too late to confirm a list.
+        let may_watch = self.calls_since_answer == 0 && self.lease.is_confirmed();
+        let after = self.revision.filter(|_| may_watch);
         let (wait_ms, lifetime_ms) =
             (after.map_or(0.0, |_| self.timing.wait_ms), self.timing.lifetime_ms(self.calls_since_answer));
         self.open.push(OpenCall { id, started: now, wait_ms, lifetime_ms, moved: None });
@@ -149,7 +171,12 @@
     pub fn due(&self, wanted: bool) -> Ms {
         let next_start = if wanted { self.next_start() } else { Ms::INFINITY };
         let expiries = self.open.iter().map(|call| self.timing.expires(call));
-        expiries.fold(next_start, Ms::min)
+        expiries.fold(next_start.min(self.lease.renewal_due_ms()), Ms::min)
+    }
+
+    /// The lease of the list that the node has.
+    pub fn lease(&self) -> ListLease {
+        self.lease
     }
 
     /// How long a watch asks discovery to wait while nothing changes.
@@ -166,7 +193,9 @@
 
     /// A call was answered. All others are dropped. Returns how far the list may be used.
     pub fn answered(&mut self, now: Ms, id: CallId, list: ListVersion) -> (ListUse, Vec<Step>) {
-        let started = self.open.iter().find(|call| call.id == id).map_or(now, |call| call.started);
+        self.lease.observe(now);
+        let sent = self.open.iter().find(|call| call.id == id).map(|call| call.started);
+        let started = sent.unwrap_or(now);
         let early = self.revision == Some(list.revision) && now - started < MIN_WATCH_MS;
         let list_use = self.judge(list);
         let is_used = list_use == ListUse::Everything;
@@ -175,6 +204,9 @@
         if is_used {
             self.last_used = self.revision;
             self.last_was_older = false;
+            if let Some(sent) = sent {
+                self.lease.confirm(now, sent);
+            }
         }
         self.calls_since_answer = 0;
         (list_use, self.drop_others(id))
@@ -197,6 +229,7 @@
     /// A call has failed. With pushed lists the next one asks for the whole list, since the service may have
     /// restarted with other revisions.
     pub fn failed(&mut self, now: Ms, id: CallId) {
+        self.lease.observe(now);
         self.open.retain(|call| call.id != id);
         match self.timing.join_ms {
             Some(join_ms) => {
@@ -210,8 +243,12 @@
         }
     }
 
-    /// Forgets all calls and the list: discovery is elsewhere now, with revisions of its own.
-    pub fn restart(&mut self) {
-        *self = WatchCalls { calls: self.calls, ..WatchCalls::new(self.timing) };
+    /// Forgets all calls and the revision of the list: discovery is elsewhere from now on, with revisions of
+    /// its own.
+    pub fn restart(&mut self, now: Ms) {
+        self.lease.observe(now);
+        self.lease.move_service(now);
+        let forgotten = WatchCalls::new(self.timing, now);
+        *self = WatchCalls { calls: self.calls, lease: self.lease, ..forgotten };
     }
 }
--- a/crates/watch-calls/src/timing.rs
+++ b/crates/watch-calls/src/timing.rs
@@ -6,6 +6,8 @@
 /// a watch waits for two of these. What is told while a watch or a call is lost in silence is then known after
 /// three at most, which leaves two fifths of the grace for the answer and for a node that is held up.
 const JOIN_SHARE_OF_GRACE: f64 = 0.2;
+/// How long a lease of the list lasts, in the same unit. A node may be held up for what is left of the grace.
+const LEASE_IN_JOINS: f64 = 4.0;
 /// Bounds of that time.
 const JOIN_RANGE_MS: (Ms, Ms) = (50.0, 400.0);
 /// Part of that time by which nodes differ, so that they do not call in step.
@@ -29,20 +31,35 @@
     pub wait_ms: Ms,
     /// A call that brings nothing for so long is joined by another; never if `None`.
     pub join_ms: Option<Ms>,
+    /// How long a lease of the list lasts that is not renewed.
+    pub lease_ms: Ms,
+}
+
+/// The time after which a call is joined by another, at a node that calls at once.
+fn longest_join_ms(drain_grace_ms: Ms) -> Ms {
+    (drain_grace_ms * JOIN_SHARE_OF_GRACE).clamp(JOIN_RANGE_MS.0, JOIN_RANGE_MS.1)
 }
 
 impl CallTiming {
     /// For lists that are pushed to an agent on the node's own machine, where calls cost nothing. `spread`,
     /// from 0 to 1, differs from node to node.
     pub fn pushed(drain_grace_ms: Ms, spread: f64) -> CallTiming {
-        let join_ms = (drain_grace_ms * JOIN_SHARE_OF_GRACE).clamp(JOIN_RANGE_MS.0, JOIN_RANGE_MS.1);
-        let join_ms = join_ms * (1.0 - SPREAD * spread.clamp(0.0, 1.0));
-        CallTiming { wait_ms: join_ms * WAIT_IN_JOINS, join_ms: Some(join_ms) }
+        let longest_join_ms = longest_join_ms(drain_grace_ms);
+        let join_ms = longest_join_ms * (1.0 - SPREAD * spread.clamp(0.0, 1.0));
+        CallTiming {
+            wait_ms: join_ms * WAIT_IN_JOINS,
+            join_ms: Some(join_ms),
+            lease_ms: longest_join_ms * LEASE_IN_JOINS,
+        }
     }
 
     /// For lists that all nodes ask one service for.
-    pub fn on_request() -> CallTiming {
-        CallTiming { wait_ms: SHARED_SERVICE_WAIT_MS, join_ms: None }
+    pub fn on_request(drain_grace_ms: Ms) -> CallTiming {
+        CallTiming {
+            wait_ms: SHARED_SERVICE_WAIT_MS,
+            join_ms: None,
+            lease_ms: longest_join_ms(drain_grace_ms) * LEASE_IN_JOINS,
+        }
     }
 
     /// How long a call may bring nothing beyond the time that discovery holds it, by the number of calls since
--- a/crates/watch-calls/tests/told_to_known.rs
+++ b/crates/watch-calls/tests/told_to_known.rs
@@ -55,7 +55,7 @@
 
 fn play(script: &Script<'_>) -> Played {
     let timing = CallTiming::pushed(GRACE_MS, script.spread);
-    let mut watch = WatchCalls::new(timing);
+    let mut watch = WatchCalls::new(timing, 0.0);
     let mut open: Vec<ServiceCall> = Vec::new();
     let mut played = Played { delay_ms: f64::INFINITY, most_open: 0, calls: 0 };
     let mut now = 0.0;
@@ -74,7 +74,7 @@
                         answer: None,
                     });
                 }
-                Step::Drop(id) => open.retain(|call| call.id != id),
+                Step::Drop(id) | Step::Discard(id) => open.retain(|call| call.id != id),
             }
         }
         played.most_open = played.most_open.max(open.len());
@@ -233,23 +233,35 @@
 
 #[test]
 fn a_restart_forgets_the_old_list_and_calls_at_once() {
-    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0));
+    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0), 0.0);
     let Some(Step::Start(first, None)) = watch.tick(0.0, true).first().copied() else { panic!("no call") };
     watch.answered(1.0, first, ListVersion { revision: 9, is_full: true });
     assert!(matches!(watch.tick(1.0, true)[..], [Step::Start(_, Some(9))]));
-    watch.restart();
+    watch.restart(2.0);
     assert!(matches!(watch.tick(2.0, true)[..], [Step::Start(_, None)]));
 }
 
-/// Answers the next call of a watch; returns the revision after which it asked, and how far the list is used.
+/// Ticks as a process does that is not held up, and checks that nothing is due. The list must have been confirmed
+/// at `from`.
+fn run_quietly(watch: &mut WatchCalls, from: f64, to: f64, wanted: bool) {
+    let mut now = from;
+    while now < to {
+        assert_eq!(watch.tick(now, wanted), [], "at {now} ms");
+        now += 50.0;
+    }
+}
+
+/// Answers the next call of a watch 100 ms later, and runs on for the rest of a second; returns the revision after which it asked, and how far the list is used.
 fn answer(watch: &mut WatchCalls, now: f64, revision: u64, is_full: bool) -> (Option<u64>, ListUse) {
     let Some(Step::Start(id, after)) = watch.tick(now, true).first().copied() else { panic!("no call") };
-    (after, watch.answered(now + 100.0, id, ListVersion { revision, is_full }).0)
+    let list_use = watch.answered(now + 100.0, id, ListVersion { revision, is_full }).0;
+    run_quietly(watch, now + 100.0, now + 1_000.0, false);
+    (after, list_use)
 }
 
 #[test]
 fn changes_to_a_list_that_the_node_does_not_have_bring_nothing_back() {
-    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0));
+    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0), 0.0);
     assert_eq!(answer(&mut watch, 0.0, 4, false), (None, Departures));
     assert_eq!(answer(&mut watch, 1_000.0, 5, true), (None, Everything));
     assert_eq!(answer(&mut watch, 2_000.0, 6, false), (Some(5), Everything));
@@ -261,7 +273,7 @@
 /// Guards against a late answer that brings back servers that are leaving.
 #[test]
 fn one_older_list_is_passed_over_and_two_in_a_row_are_a_restart() {
-    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0));
+    let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0), 0.0);
     for (now, revision, expected) in [
         (0.0, 41, Everything),
         (1_000.0, 40, Departures),
@@ -276,13 +288,14 @@
     // A failed call in between does not make an older list newer.
     let Some(Step::Start(failed, Some(38))) = watch.tick(7_000.0, true).first().copied() else { panic!() };
     watch.failed(7_100.0, failed);
+    run_quietly(&mut watch, 7_100.0, 8_000.0, false);
     assert_eq!(answer(&mut watch, 8_000.0, 37, true), (None, Departures));
 }
 
 /// Calls to a service that all nodes share are paced by the balancer, one at a time.
 #[test]
 fn a_shared_service_gets_one_call_at_a_time_and_none_after_a_failure() {
-    let mut watch = WatchCalls::new(CallTiming::on_request());
+    let mut watch = WatchCalls::new(CallTiming::on_request(GRACE_MS), 0.0);
     let Some(Step::Start(list, None)) = watch.tick(0.0, true).first().copied() else { panic!("no call") };
     assert!(watch.tick(3_499.0, true).is_empty());
     assert_eq!(watch.tick(3_500.0, true), [Step::Drop(list)]);
@@ -293,6 +306,7 @@
     let Some(Step::Start(held, Some(1))) = watch.tick(4_010.0, true).first().copied() else {
         panic!("no call")
     };
+    run_quietly(&mut watch, 4_010.0, 25_509.0, true);
     assert!(watch.tick(25_509.0, true).is_empty());
     assert_eq!(watch.tick(25_510.0, true), [Step::Drop(held)]);
 }
