Call an asked discovery again within 1.2 s after a failed call

Cause: the pause after a failed call doubled up to 5 s; two such pauses and one call that a crowded service ends with 503 after 1 s are longer than the 6 s. The first call after a failure was also a watch of 20 s.

Change: a pause is 1.2 s at the most, and the first call after a failure asks for an answer at once. From the second failure on all nodes together call at most 1,500 times a second, as the shortest pause follows from their number.

Steps of the watch name a query (whole list, or changes with a wait) in place of an optional revision.

--- a/crates/balancer/src/balancer/backend_list.rs
+++ b/crates/balancer/src/balancer/backend_list.rs
@@ -12,6 +12,14 @@
 /// Weight of a candidate outside this node's zone where crossing zones has a price. Enough of them remain
 /// candidates for a zone with more traffic than its own backends can carry, and a key keeps few backends.
 const OTHER_ZONE_WEIGHT: f64 = 0.5;
+/// What discovery has counts as told at the latest this long after it could be reached.
+const TOLD_WITHIN_MS: f64 = 6_000.0;
+/// Part of that time after which a failed call is followed by another: two calls may fail in between.
+const LONGEST_PAUSE_PART: f64 = 0.2;
+/// Calls for the list that all nodes together make a second at most while calls fail.
+const MAX_FLEET_CALLS_PER_S: f64 = 1_500.0;
+/// The shortest part of a pause that its jitter leaves.
+const SHORTEST_JITTERED_PART: f64 = 0.5;
 
 impl Balancer {
     pub(super) fn on_list(&mut self, now: f64, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
@@ -38,13 +46,19 @@
     }
 
     /// Asks for the list again after a jittered, growing pause that stays short enough for this node not to
-    /// count as unreachable.
+    /// count as unreachable, and to learn in time what discovery has to tell.
     fn schedule_list_retry(&mut self, now: f64, out: &mut Vec<Action>) {
         self.list_failures = (self.list_failures + 1).min(5);
-        let longest_ms = (self.settings.max_poll_gap_ms / 2.0).max(1.0);
+        let longest_ms =
+            (self.settings.max_poll_gap_ms / 2.0).clamp(1.0, TOLD_WITHIN_MS * LONGEST_PAUSE_PART);
+        let fleet_interval_ms = f64::from(self.settings.instances) / MAX_FLEET_CALLS_PER_S * 1_000.0;
+        // The first failure may be that of a silent watch, which has taken most of the time already.
+        let shortest_ms =
+            if self.list_failures > 1 { fleet_interval_ms / SHORTEST_JITTERED_PART } else { 0.0 };
         let backoff = f64::from(1_u32 << self.list_failures);
-        let pause_ms = (self.tick_interval_ms() * backoff).min(longest_ms);
-        let at_ms = now + pause_ms * (0.5 + 0.5 * self.rng.f64());
+        let pause_ms = (self.tick_interval_ms() * backoff).max(shortest_ms).min(longest_ms);
+        let jitter = SHORTEST_JITTERED_PART + (1.0 - SHORTEST_JITTERED_PART) * self.rng.f64();
+        let at_ms = now + pause_ms * jitter;
         out.push(Action::Timer { token: LIST_RETRY_TIMER, at_ms });
     }
 
--- a/crates/node/tests/node_discovery.rs
+++ b/crates/node/tests/node_discovery.rs
@@ -41,6 +41,16 @@
         vec![target("s-0", self.addresses[0], "draining"), target("s-1", self.addresses[1], "up")]
     }
 
+    /// Starts a node that asks for its lists, and waits until it has one.
+    fn start_with_asking_node() -> (Floor, Node) {
+        let floor = Floor::start();
+        let node = Node::start(floor.discovery.address, |config| {
+            config["settings"]["membershipMode"] = "on_request".into();
+        });
+        assert!(floor.discovery.is_heard(), "the node must have the list");
+        (floor, node)
+    }
+
     /// Waits for the next call, so that the one before it has just been answered.
     fn wait_for_call(&self) {
         let calls = self.discovery.calls();
@@ -144,3 +154,16 @@
         floor.discovery.send_late_list(all_up(&floor.addresses), Duration::from_millis(900));
     });
 }
+
+/// Guards against a pause after failed calls that grows until what discovery tells at its return is known too late.
+#[test]
+fn a_drain_told_by_a_crowded_service_that_is_asked_for_lists_is_kept() {
+    let (floor, node) = Floor::start_with_asking_node();
+    floor.assert_drain_is_kept(&node, REACHABLE + GRACE, || {
+        floor.discovery.fail_calls();
+        thread::sleep(Duration::from_secs(8));
+        // Discovery is back right after a call that has failed.
+        floor.wait_for_call();
+        floor.discovery.return_crowded(floor.list_with_drain(), Duration::from_secs(1));
+    });
+}
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -29,6 +29,10 @@
     losses: u32,
     /// Time until an answer begins.
     delay: Duration,
+    /// Calls end with 503 after this time.
+    fails_after: Option<Duration>,
+    /// Only this many more calls do; none for all.
+    failures_left: Option<u32>,
     /// A whole list with its revision that is sent once, at once, in place of the current one.
     late_list: Option<(u64, Vec<Value>)>,
     hasty: bool,
@@ -45,6 +49,19 @@
     pub address: SocketAddr,
 }
 
+impl ListState {
+    /// After which time a call that comes now ends with 503; none if it is answered.
+    fn take_failure(&mut self) -> Option<Duration> {
+        let wait = self.fails_after?;
+        match &mut self.failures_left {
+            Some(0) => self.fails_after = None,
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        self.fails_after.map(|_| wait)
+    }
+}
+
 impl Discovery {
     /// Starts a service with this list on a free port.
     pub fn start(targets: Vec<Value>) -> Discovery {
@@ -82,9 +99,19 @@
             state.acknowledged_rev = state.acknowledged_rev.max(after);
             let losses = state.losses;
             changed.notify_all();
+            if let Some(wait) = state.take_failure() {
+                drop(state);
+                thread::sleep(wait);
+                let _ = stream.write_all(&reply("503 Service Unavailable", "", b""));
+                return;
+            }
             let has_news =
                 |state: &ListState| state.hasty || state.late_list.is_some() || state.rev > after;
             while state.silent || (!has_news(&state) && Instant::now() < end) {
+                if state.fails_after.is_some() {
+                    // When discovery goes down, watches end.
+                    return;
+                }
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
             if state.losses != losses {
@@ -129,6 +156,20 @@
         self.state.1.notify_all();
     }
 
+    /// Goes down: watches end, and each call ends with 503 at once.
+    pub fn fail_calls(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.fails_after, state.failures_left) = (Some(Duration::ZERO), None);
+        self.state.1.notify_all();
+    }
+
+    /// Comes back with a list, and crowded: the next call ends with 503 after `wait`, and later ones are answered.
+    pub fn return_crowded(&self, targets: Vec<Value>, wait: Duration) {
+        self.set(targets);
+        let mut state = self.state.0.lock().unwrap();
+        (state.fails_after, state.failures_left) = (Some(wait), Some(1));
+    }
+
     /// Never answers the calls that are open now; later ones are answered.
     pub fn lose_open_calls(&self) {
         self.state.0.lock().unwrap().losses += 1;
--- a/crates/upstream/src/discovery.rs
+++ b/crates/upstream/src/discovery.rs
@@ -178,7 +178,7 @@
         }
         for step in self.calls.tick(clock.now_ms(), self.wanted) {
             match step {
-                Step::Start(id, after) => self.tasks.start(id, self.at, after, self.calls.wait_ms()),
+                Step::Start(id, query) => self.tasks.start(id, self.at, query),
                 Step::Drop(id) => self.drop_call(id),
                 Step::Discard(id) => {
                     self.tasks.abort(id);
--- a/crates/upstream/src/discovery_calls.rs
+++ b/crates/upstream/src/discovery_calls.rs
@@ -3,7 +3,7 @@
 use crate::conn::{Conn, OutgoingRequest};
 use crate::discovery::{Listing, parse_listing};
 use applemill_socket::Descriptors;
-use applemill_watch_calls::{CallId, Ms};
+use applemill_watch_calls::{CallId, Query};
 use hyper::StatusCode;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -42,11 +42,13 @@
         CallTasks { tasks: JoinSet::new(), open: BTreeMap::new(), descriptors, idle_conn: None }
     }
 
-    /// Starts a call: a watch for changes after a revision that waits for so long, or for the whole list.
-    pub fn start(&mut self, id: CallId, at: SocketAddr, after: Option<u64>, wait_ms: Ms) {
-        let path = match after {
-            Some(revision) => format!("/discovery/hosts?after={revision}&wait_ms={wait_ms:.0}"),
-            None => "/discovery/hosts".to_owned(),
+    /// Starts a call.
+    pub fn start(&mut self, id: CallId, at: SocketAddr, query: Query) {
+        let path = match query {
+            Query::Changes { after, wait_ms } => {
+                format!("/discovery/hosts?after={after}&wait_ms={wait_ms:.0}")
+            }
+            Query::WholeList => "/discovery/hosts".to_owned(),
         };
         let moved = Rc::new(Cell::new(None));
         let call = Call {
--- a/crates/watch-calls/src/lib.rs
+++ b/crates/watch-calls/src/lib.rs
@@ -31,11 +31,35 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
 
+/// What a call asks for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Query {
+    /// The whole list, at once.
+    WholeList,
+    /// What changes after a revision.
+    Changes {
+        /// The revision.
+        after: u64,
+        /// How long discovery holds the call open while nothing changes; at 0 it answers at once.
+        wait_ms: Ms,
+    },
+}
+
+impl Query {
+    /// How long discovery may hold the call open by itself.
+    fn wait_ms(self) -> Ms {
+        match self {
+            Query::WholeList => 0.0,
+            Query::Changes { wait_ms, .. } => wait_ms,
+        }
+    }
+}
+
 /// A step for the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
-    /// Start a call: a watch for changes after a revision, or a request for the whole list.
-    Start(CallId, Option<u64>),
+    /// Start a call.
+    Start(CallId, Query),
     /// Drop a call and its connection.
     Drop(CallId),
     /// Drop a call that has not failed: its answer would be of no use.
@@ -88,6 +112,8 @@
     /// Calls that were started since the last answer.
     calls_since_answer: u32,
     last_start: Ms,
+    /// The last call has failed.
+    has_failed: bool,
     /// No call starts before this.
     not_before: Ms,
     /// Until when the list that the node has may be used.
@@ -106,6 +132,7 @@
             calls: 0,
             calls_since_answer: 0,
             last_start: Ms::NEG_INFINITY,
+            has_failed: false,
             not_before: Ms::NEG_INFINITY,
             lease: ListLease::unconfirmed(held_since, timing.lease_ms),
         }
@@ -124,6 +151,7 @@
         if timing.join_ms.is_none() && has_failed {
             // The failure is reported first: whether to call again is not decided here.
             self.calls_since_answer = 0;
+            self.has_failed = true;
             return steps;
         }
         if !wanted || now < self.next_start() {
@@ -149,16 +177,24 @@
     fn start(&mut self, now: Ms) -> Step {
         self.calls += 1;
         let id = CallId(self.calls);
-        // A service that does not answer a watch may come back with other revisions, and a watch without news
-        // is answered too late to confirm a list.
-        let may_watch = self.calls_since_answer == 0 && self.lease.is_confirmed();
-        let after = self.revision.filter(|_| may_watch);
-        let (wait_ms, lifetime_ms) =
-            (after.map_or(0.0, |_| self.timing.wait_ms), self.timing.lifetime_ms(self.calls_since_answer));
+        let query = self.next_query();
+        let (wait_ms, lifetime_ms) = (query.wait_ms(), self.timing.lifetime_ms(self.calls_since_answer));
         self.open.push(OpenCall { id, started: now, wait_ms, lifetime_ms, moved: None });
         self.calls_since_answer = self.calls_since_answer.saturating_add(1);
         self.last_start = now;
-        Step::Start(id, after)
+        Step::Start(id, query)
+    }
+
+    fn next_query(&self) -> Query {
+        // A service that does not answer a watch may come back with other revisions, and a watch without news
+        // is answered too late to confirm a list.
+        let may_watch = self.calls_since_answer == 0 && self.lease.is_confirmed();
+        match self.revision.filter(|_| may_watch) {
+            // Whether the service answers again has to show at once: a watch could wait for long.
+            Some(after) if self.has_failed => Query::Changes { after, wait_ms: 0.0 },
+            Some(after) => Query::Changes { after, wait_ms: self.timing.wait_ms },
+            None => Query::WholeList,
+        }
     }
 
     /// When the next call starts if nothing happens before.
@@ -179,11 +215,6 @@
         self.lease
     }
 
-    /// How long a watch asks discovery to wait while nothing changes.
-    pub fn wait_ms(&self) -> Ms {
-        self.timing.wait_ms
-    }
-
     /// Bytes of a call's answer have arrived.
     pub fn moved(&mut self, now: Ms, id: CallId) {
         if let Some(call) = self.open.iter_mut().find(|call| call.id == id) {
@@ -194,9 +225,9 @@
     /// A call was answered. All others are dropped. Returns how far the list may be used.
     pub fn answered(&mut self, now: Ms, id: CallId, list: ListVersion) -> (ListUse, Vec<Step>) {
         self.lease.observe(now);
-        let sent = self.open.iter().find(|call| call.id == id).map(|call| call.started);
-        let started = sent.unwrap_or(now);
-        let early = self.revision == Some(list.revision) && now - started < MIN_WATCH_MS;
+        let call = self.open.iter().find(|call| call.id == id).copied();
+        let is_early = |call: OpenCall| call.wait_ms > 0.0 && now - call.started < MIN_WATCH_MS;
+        let early = self.revision == Some(list.revision) && call.is_some_and(is_early);
         let list_use = self.judge(list);
         let is_used = list_use == ListUse::Everything;
         self.not_before = if early || !is_used { now + EARLY_ANSWER_PAUSE_MS } else { now };
@@ -204,11 +235,12 @@
         if is_used {
             self.last_used = self.revision;
             self.last_was_older = false;
-            if let Some(sent) = sent {
-                self.lease.confirm(now, sent);
+            if let Some(call) = call {
+                self.lease.confirm(now, call.started);
             }
         }
         self.calls_since_answer = 0;
+        self.has_failed = false;
         (list_use, self.drop_others(id))
     }
 
@@ -238,6 +270,7 @@
             }
             None => {
                 self.calls_since_answer = 0;
+                self.has_failed = true;
                 self.not_before = now;
             }
         }
--- a/crates/watch-calls/tests/drawn_outages.rs
+++ b/crates/watch-calls/tests/drawn_outages.rs
@@ -2,7 +2,7 @@
 //! virtual time. No send to a draining server may be decided on later than the rules allow. The share of the time in
 //! which the node may serve is compared with the same schedule without outages.
 
-use applemill_watch_calls::{CallId, CallTiming, ListVersion, Step, WatchCalls};
+use applemill_watch_calls::{CallId, CallTiming, ListVersion, Query, Step, WatchCalls};
 use std::ops::Range;
 
 const SCHEDULES: u64 = 500;
@@ -89,7 +89,7 @@
 /// A call at an agent.
 struct Call {
     id: CallId,
-    after: Option<u64>,
+    query: Query,
     came: f64,
     is_lost: bool,
     /// When the answer is there, with its list.
@@ -141,8 +141,11 @@
                 continue;
             }
             call.is_lost |= down;
-            let has_news = call.after.is_none_or(|after| after != revision);
-            let has_waited = now >= call.came + self.watch.wait_ms();
+            let (has_news, wait_ms) = match call.query {
+                Query::WholeList => (true, 0.0),
+                Query::Changes { after, wait_ms } => (after != revision, wait_ms),
+            };
+            let has_waited = now >= call.came + wait_ms;
             if !call.is_lost && (has_news || has_waited) {
                 let drained: Vec<usize> = schedule.had_drains(now).collect();
                 let up = (0..SERVERS).filter(|server| !drained.contains(server)).collect();
@@ -166,9 +169,9 @@
         }
         for step in self.watch.tick(now, true) {
             match step {
-                Step::Start(id, after) => {
+                Step::Start(id, query) => {
                     let is_lost = schedule.is_down(now);
-                    self.calls.push(Call { id, after, came: now, is_lost, answer: None });
+                    self.calls.push(Call { id, query, came: now, is_lost, answer: None });
                 }
                 Step::Drop(id) | Step::Discard(id) => self.calls.retain(|call| call.id != id),
             }
--- a/crates/watch-calls/tests/list_lease.rs
+++ b/crates/watch-calls/tests/list_lease.rs
@@ -1,7 +1,7 @@
 //! When a node may use a list that discovery has not confirmed since the node began to hold it. One row for each way
 //! of coming to hold such a list.
 
-use applemill_watch_calls::{CallId, CallTiming, ListVersion, Step, WatchCalls};
+use applemill_watch_calls::{CallId, CallTiming, ListVersion, Query, Step, WatchCalls};
 
 const GRACE_MS: f64 = 500.0;
 /// By which each limit is longer on sockets.
@@ -20,8 +20,8 @@
 struct Process {
     watch: WatchCalls,
     now: f64,
-    /// The last call that was started, and after which revision it asked.
-    last_call: Option<(CallId, Option<u64>)>,
+    /// The last call that was started.
+    last_call: Option<(CallId, Query)>,
 }
 
 impl Process {
@@ -46,8 +46,8 @@
         let end = self.now + ms;
         loop {
             for step in self.watch.tick(self.now, true) {
-                if let Step::Start(id, after) = step {
-                    self.last_call = Some((id, after));
+                if let Step::Start(id, query) = step {
+                    self.last_call = Some((id, query));
                 }
             }
             if self.now >= end {
@@ -152,8 +152,8 @@
         assert!(!process.may_send(), "in the first moment");
         process.run(0.0);
         assert!(!process.may_send(), "discovery has not answered");
-        let (_, after) = process.last_call.expect("a call is open");
-        assert_eq!(after, None, "a watch would be answered only when something changes");
+        let (_, query) = process.last_call.expect("a call is open");
+        assert_eq!(query, Query::WholeList, "a watch would be answered only when something changes");
         process.run(20.0);
         process.answer(5, true);
         assert!(process.may_send());
@@ -233,5 +233,5 @@
     process.hold_up(2_000.0);
     let steps = process.watch.tick(process.now, true);
     assert_eq!(steps.first(), Some(&Step::Discard(old)));
-    assert!(matches!(steps.get(1), Some(Step::Start(_, None))));
+    assert!(matches!(steps.get(1), Some(Step::Start(_, Query::WholeList))));
 }
--- a/crates/watch-calls/tests/told_to_known.rs
+++ b/crates/watch-calls/tests/told_to_known.rs
@@ -2,7 +2,7 @@
 //! the node knows it. Each bound is one of the operators' pages; a constant that breaks one fails here.
 
 use applemill_watch_calls::ListUse::{Departures, Everything};
-use applemill_watch_calls::{CallId, CallTiming, ListUse, ListVersion, Step, WatchCalls};
+use applemill_watch_calls::{CallId, CallTiming, ListUse, ListVersion, Query, Step, WatchCalls};
 
 const GRACE_MS: f64 = 500.0;
 /// A node may be held up for this long between its decision and the first byte.
@@ -29,7 +29,7 @@
 /// An open call at the service.
 struct ServiceCall {
     id: CallId,
-    after: Option<u64>,
+    query: Query,
     /// When the call came.
     came: f64,
     lost: bool,
@@ -64,11 +64,11 @@
         let revision = if now >= script.told { 2 } else { 1 };
         for step in watch.tick(now, true) {
             match step {
-                Step::Start(id, after) => {
+                Step::Start(id, query) => {
                     played.calls += 1;
                     open.push(ServiceCall {
                         id,
-                        after,
+                        query,
                         came: now,
                         lost: service == Service::Silent,
                         answer: None,
@@ -80,7 +80,7 @@
         played.most_open = played.most_open.max(open.len());
         for call in &mut open {
             call.lost |=
-                service == Service::Silent || call.after.is_some() && now == script.watches_lost_at;
+                service == Service::Silent || after(call.query).is_some() && now == script.watches_lost_at;
         }
         match service {
             Service::Silent => {}
@@ -109,6 +109,14 @@
     played
 }
 
+/// The revision after which a call asks for changes.
+fn after(query: Query) -> Option<u64> {
+    match query {
+        Query::WholeList => None,
+        Query::Changes { after, .. } => Some(after),
+    }
+}
+
 /// Answers the open calls, and returns the first one that is complete, with the revision that it tells.
 fn serve(
     watch: &mut WatchCalls,
@@ -120,7 +128,7 @@
     takes_ms: f64,
 ) -> Option<(CallId, u64)> {
     for call in open.iter_mut().filter(|call| !call.lost) {
-        let has_news = call.after.is_none_or(|after| revision > after);
+        let has_news = after(call.query).is_none_or(|after| revision > after);
         if call.answer.is_none() && (has_news || now >= call.came + wait_ms) {
             call.answer = Some((now + begins_ms, revision));
         }
@@ -234,11 +242,13 @@
 #[test]
 fn a_restart_forgets_the_old_list_and_calls_at_once() {
     let mut watch = WatchCalls::new(CallTiming::pushed(GRACE_MS, 0.0), 0.0);
-    let Some(Step::Start(first, None)) = watch.tick(0.0, true).first().copied() else { panic!("no call") };
+    let Some(Step::Start(first, Query::WholeList)) = watch.tick(0.0, true).first().copied() else {
+        panic!("no call")
+    };
     watch.answered(1.0, first, ListVersion { revision: 9, is_full: true });
-    assert!(matches!(watch.tick(1.0, true)[..], [Step::Start(_, Some(9))]));
+    assert!(matches!(watch.tick(1.0, true)[..], [Step::Start(_, Query::Changes { after: 9, .. })]));
     watch.restart(2.0);
-    assert!(matches!(watch.tick(2.0, true)[..], [Step::Start(_, None)]));
+    assert!(matches!(watch.tick(2.0, true)[..], [Step::Start(_, Query::WholeList)]));
 }
 
 /// Ticks as a process does that is not held up, and checks that nothing is due. The list must have been confirmed
@@ -253,10 +263,10 @@
 
 /// Answers the next call of a watch 100 ms later, and runs on for the rest of a second; returns the revision after which it asked, and how far the list is used.
 fn answer(watch: &mut WatchCalls, now: f64, revision: u64, is_full: bool) -> (Option<u64>, ListUse) {
-    let Some(Step::Start(id, after)) = watch.tick(now, true).first().copied() else { panic!("no call") };
+    let Some(Step::Start(id, query)) = watch.tick(now, true).first().copied() else { panic!("no call") };
     let list_use = watch.answered(now + 100.0, id, ListVersion { revision, is_full }).0;
     run_quietly(watch, now + 100.0, now + 1_000.0, false);
-    (after, list_use)
+    (after(query), list_use)
 }
 
 #[test]
@@ -286,7 +296,11 @@
         assert_eq!(answer(&mut watch, now, revision, true).1, expected, "at {now} ms");
     }
     // A failed call in between does not make an older list newer.
-    let Some(Step::Start(failed, Some(38))) = watch.tick(7_000.0, true).first().copied() else { panic!() };
+    let Some(Step::Start(failed, Query::Changes { after: 38, .. })) =
+        watch.tick(7_000.0, true).first().copied()
+    else {
+        panic!()
+    };
     watch.failed(7_100.0, failed);
     run_quietly(&mut watch, 7_100.0, 8_000.0, false);
     assert_eq!(answer(&mut watch, 8_000.0, 37, true), (None, Departures));
@@ -296,14 +310,18 @@
 #[test]
 fn a_shared_service_gets_one_call_at_a_time_and_none_after_a_failure() {
     let mut watch = WatchCalls::new(CallTiming::on_request(GRACE_MS), 0.0);
-    let Some(Step::Start(list, None)) = watch.tick(0.0, true).first().copied() else { panic!("no call") };
+    let Some(Step::Start(list, Query::WholeList)) = watch.tick(0.0, true).first().copied() else {
+        panic!("no call")
+    };
     assert!(watch.tick(3_499.0, true).is_empty());
     assert_eq!(watch.tick(3_500.0, true), [Step::Drop(list)]);
-    let Some(Step::Start(again, None)) = watch.tick(4_000.0, true).first().copied() else {
+    let Some(Step::Start(again, Query::WholeList)) = watch.tick(4_000.0, true).first().copied() else {
         panic!("no call")
     };
     watch.answered(4_010.0, again, ListVersion { revision: 1, is_full: true });
-    let Some(Step::Start(held, Some(1))) = watch.tick(4_010.0, true).first().copied() else {
+    let Some(Step::Start(held, Query::Changes { after: 1, .. })) =
+        watch.tick(4_010.0, true).first().copied()
+    else {
         panic!("no call")
     };
     run_quietly(&mut watch, 4_010.0, 25_509.0, true);
