Close a connection in use when its server's process was replaced meanwhile

Cause: a connection in use is judged when its exchange ends, by its address alone, which is the same; so is a request that waits for its connection.

Change: each attempt and streamed answer carries the location of the process that it was sent to (address, zone, cell, start). Its connection is kept only if that process is still the one in the list.

--- a/crates/ledger/src/addresses.rs
+++ b/crates/ledger/src/addresses.rs
@@ -7,15 +7,29 @@
 use std::net::SocketAddr;
 
 /// Where the process of a backend is, and when it started. What differs is another process.
-#[derive(Clone, Debug)]
-struct Location {
-    address: SocketAddr,
-    zone: Option<ZoneId>,
-    cell: Option<u32>,
-    ready_at_ms: f64,
+#[derive(Clone, Copy, Debug)]
+pub struct Location {
+    pub address: SocketAddr,
+    pub zone: Option<ZoneId>,
+    pub cell: Option<u32>,
+    pub ready_at_ms: f64,
 }
 
 impl Location {
+    /// Whether a connection to the process at `old` leads to the one that is here now.
+    fn is_process_at(&self, old: &Location) -> bool {
+        self.address == old.address
+            && self.zone == old.zone
+            && self.cell == old.cell
+            && self.started_ms() <= old.started_ms()
+    }
+
+    /// Hashes the location.
+    pub fn digest<H: Hasher>(&self, state: &mut H) {
+        let Location { address, zone, cell, ready_at_ms } = self;
+        (address, zone, cell, ready_at_ms.to_bits()).hash(state);
+    }
+
     /// When the process started; 0 in a list stands for a time before all others.
     fn started_ms(&self) -> f64 {
         if self.ready_at_ms == 0.0 { f64::NEG_INFINITY } else { self.ready_at_ms }
@@ -27,20 +41,21 @@
 pub struct Addresses(BTreeMap<BackendId, Location>);
 
 impl Addresses {
-    /// The address of a backend that is up.
-    pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
-        self.0.get(&backend).map(|location| location.address)
+    /// Where a backend is that is up.
+    pub fn location(&self, backend: BackendId) -> Option<Location> {
+        self.0.get(&backend).copied()
     }
 
-    /// Whether the backend is up and listens at this address.
-    pub fn is_at(&self, backend: BackendId, address: SocketAddr) -> bool {
-        self.address(backend) == Some(address)
+    /// Whether the backend is up, and its process is still the one at this location.
+    pub fn is_at(&self, backend: BackendId, old: &Location) -> bool {
+        self.0.get(&backend).is_some_and(|location| location.is_process_at(old))
     }
 
     /// Hashes the whole state.
     pub fn digest<H: Hasher>(&self, state: &mut H) {
-        for (id, Location { address, zone, cell, ready_at_ms }) in &self.0 {
-            (id, address, zone, cell, ready_at_ms.to_bits()).hash(state);
+        for (id, location) in &self.0 {
+            id.hash(state);
+            location.digest(state);
         }
     }
 
@@ -68,14 +83,6 @@
                 }
             }
         }
-        let is_unchanged = |id: &BackendId, old: &Location| {
-            self.0.get(id).is_some_and(|location| {
-                location.address == old.address
-                    && location.zone == old.zone
-                    && location.cell == old.cell
-                    && location.started_ms() <= old.started_ms()
-            })
-        };
-        before.iter().filter(|(id, old)| !is_unchanged(id, old)).map(|(id, _)| *id).collect()
+        before.iter().filter(|(id, old)| !self.is_at(**id, old)).map(|(id, _)| *id).collect()
     }
 }
--- a/crates/ledger/src/conn.rs
+++ b/crates/ledger/src/conn.rs
@@ -2,11 +2,11 @@
 //! combinations: only an exchange has bytes written, and only an idle connection can be taken for the next
 //! request.
 
+use crate::addresses::Location;
 use crate::fault::FaultContext;
 use crate::interface::{AnswerProgress, RequestProgress};
 use crate::timers::TimerKey;
 use applemill_balancer::interface::{BackendId, Outcome, RequestId};
-use std::net::SocketAddr;
 
 /// What is sent on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,7 +22,8 @@
 pub struct Job {
     pub purpose: Purpose,
     pub backend: BackendId,
-    pub address: SocketAddr,
+    /// The backend's process that it is sent to.
+    pub location: Location,
     pub sent_ms: f64,
     /// When it times out, in milliseconds of the clock.
     pub deadline_ms: f64,
@@ -88,7 +89,8 @@
 pub struct StreamingAnswer {
     pub id: RequestId,
     pub backend: BackendId,
-    pub address: SocketAddr,
+    /// The backend's process that sends it.
+    pub location: Location,
     pub fault_context: FaultContext,
 }
 
@@ -149,10 +151,11 @@
     #[test]
     fn outcome_of_a_failed_exchange_depends_on_purpose_and_progress() {
         let attempt = Purpose::Attempt(RequestId(1), 1);
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+        let location = Location { address, zone: None, cell: None, ready_at_ms: 0.0 };
         let timer = Timers::<()>::new().set(0.0, ());
         let outcomes = |purpose, written, received, acts_on_partial| {
-            let job = Job { purpose, backend: BackendId(1), address, sent_ms: 0.0, deadline_ms: 1.0 };
+            let job = Job { purpose, backend: BackendId(1), location, sent_ms: 0.0, deadline_ms: 1.0 };
             let e = Exchange {
                 job,
                 timer,
--- a/crates/ledger/src/conn_events.rs
+++ b/crates/ledger/src/conn_events.rs
@@ -1,6 +1,7 @@
 //! Connection events: assigns connections to attempts and probes, and handles what happens on them until
 //! they end.
 
+use crate::addresses::Location;
 use crate::conn::{Conn, Exchange, Job, Purpose, StreamingAnswer};
 use crate::interface::{
     AnswerProgress, ConnEvent, ConnId, Effect, ExchangeResult, Payload, RequestProgress,
@@ -8,7 +9,6 @@
 use crate::ledger::{Body, Ledger, MAX_TIMEOUT_MS, Timer};
 use applemill_balancer::interface::{BackendId, Event, Outcome};
 use applemill_blame::AttemptResult;
-use std::net::SocketAddr;
 
 /// How long the rest of an answer may take after its head, unless it is streamed, in milliseconds.
 const BODY_TIMEOUT_MS: f64 = 100.0;
@@ -29,7 +29,7 @@
         let conn = ConnId(self.next_conn);
         self.next_conn += 1;
         self.set_attempt_conn(job.purpose, Some(conn));
-        out.push(Effect::Dial(conn, job.address));
+        out.push(Effect::Dial(conn, job.location.address));
         let timer = self.timers.set(self.dial_deadline_ms(&job), Timer::Conn(conn));
         self.conns.insert(conn, Conn::AwaitingDescriptor(job, timer));
     }
@@ -143,7 +143,7 @@
             }
             (Conn::Streaming(stream), ConnEvent::Complete { again, .. }) => {
                 self.stream_ended(&stream, Some(AttemptResult::Success));
-                self.keep_or_close(id, stream.backend, stream.address, again, out);
+                self.keep_or_close(id, stream.backend, &stream.location, again, out);
             }
             (Conn::Streaming(stream), failure @ (ConnEvent::Disconnected | ConnEvent::TooSlow)) => {
                 out.push(Effect::Close(id));
@@ -209,13 +209,13 @@
                 self.record_idle_age(&exchange, false);
                 self.end_job(&exchange.job, finish, out);
                 self.process_events(out);
-                self.keep_or_close(id, exchange.job.backend, exchange.job.address, again, out);
+                self.keep_or_close(id, exchange.job.backend, &exchange.job.location, again, out);
                 return;
             }
             ConnEvent::HeadReceived(finish) if exchange.written > RequestProgress::Nothing => {
                 self.timers.cancel(exchange.timer);
                 self.record_idle_age(&exchange, false);
-                let Job { purpose: Purpose::Attempt(request, _), backend, address, .. } = exchange.job
+                let Job { purpose: Purpose::Attempt(request, _), backend, location, .. } = exchange.job
                 else {
                     // The answer to a probe is never streamed.
                     out.push(Effect::Close(id));
@@ -223,7 +223,7 @@
                     return;
                 };
                 let fault_context = self.take_fault_context(request);
-                let stream = StreamingAnswer { id: request, backend, address, fault_context };
+                let stream = StreamingAnswer { id: request, backend, location, fault_context };
                 self.conns.insert(id, Conn::Streaming(stream));
                 // For the decisions the attempt ends with the head: the pace of the rest depends on the
                 // client as much as on the backend, and it takes no capacity that another request needs.
@@ -283,11 +283,11 @@
         &mut self,
         id: ConnId,
         backend: BackendId,
-        address: SocketAddr,
+        location: &Location,
         again: bool,
         out: &mut Out<O, C, R>,
     ) {
-        if again && self.addresses.is_at(backend, address) {
+        if again && self.addresses.is_at(backend, location) {
             self.idle_conns.insert(self.now, backend, id);
             self.conns.insert(id, Conn::Idle(backend));
         } else {
@@ -355,9 +355,9 @@
     }
 
     /// After a list update: a request of which nothing was written is not sent to a backend that drains,
-    /// was removed or has moved, even if a connection is being opened or established.
+    /// was removed, has moved or is another process now, even if a connection is being opened or established.
     pub(crate) fn redirect_unwritten<R>(&mut self, out: &mut Out<O, C, R>) {
-        let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, job.address);
+        let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, &job.location);
         let displaced =
             self.conns.iter().filter(|(_, c)| c.is_unwritten() && c.job().is_some_and(is_displaced));
         let displaced: Vec<ConnId> = displaced.map(|(id, _)| *id).collect();
@@ -374,11 +374,11 @@
         }
     }
 
-    /// Sends a job of which nothing was written to its backend's present address; without one it never ran.
+    /// Sends a job of which nothing was written to its backend's present process; without one it never ran.
     fn redirect<R>(&mut self, mut job: Job, out: &mut Out<O, C, R>) {
-        match self.addresses.address(job.backend) {
-            Some(address) if address != job.address && self.reason_to_skip(job.purpose).is_none() => {
-                job.address = address;
+        match self.addresses.location(job.backend) {
+            Some(location) if self.reason_to_skip(job.purpose).is_none() => {
+                job.location = location;
                 self.assign_conn(job, out);
             }
             _ => self.end_job(&job, Outcome::NotConnected.into(), out),
--- a/crates/ledger/src/digest.rs
+++ b/crates/ledger/src/digest.rs
@@ -55,8 +55,9 @@
                 )
                     .hash(state);
             }
-            Conn::Streaming(StreamingAnswer { id, backend, address, fault_context }) => {
-                (id, backend, address, fault_context.trial_token).hash(state);
+            Conn::Streaming(StreamingAnswer { id, backend, location, fault_context }) => {
+                location.digest(state);
+                (id, backend, fault_context.trial_token).hash(state);
             }
             Conn::Idle(backend) => backend.hash(state),
         }
@@ -65,7 +66,8 @@
 
 impl Job {
     fn digest<H: Hasher>(&self, state: &mut H) {
-        let Job { purpose, backend, address, sent_ms, deadline_ms } = self;
-        (purpose, backend, address, sent_ms.to_bits(), deadline_ms.to_bits()).hash(state);
+        let Job { purpose, backend, location, sent_ms, deadline_ms } = self;
+        location.digest(state);
+        (purpose, backend, sent_ms.to_bits(), deadline_ms.to_bits()).hash(state);
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -322,9 +322,9 @@
     ) {
         let now = self.now;
         let deadline_ms = now + timeout_ms.clamp(0.0, MAX_TIMEOUT_MS);
-        match self.addresses.address(backend) {
-            Some(address) => {
-                self.assign_conn(Job { purpose, backend, address, sent_ms: now, deadline_ms }, out)
+        match self.addresses.location(backend) {
+            Some(location) => {
+                self.assign_conn(Job { purpose, backend, location, sent_ms: now, deadline_ms }, out)
             }
             None => self.job_ended(purpose, backend, now, Outcome::NotConnected.into(), true, out),
         }
--- a/crates/ledger/tests/list_lease.rs
+++ b/crates/ledger/tests/list_lease.rs
@@ -1,105 +1,22 @@
 //! The lease of the list of backends: nothing begins after it has expired, and every request still gets its answer at
 //! once.
 
-use applemill_balancer::Balancer;
-use applemill_balancer::interface::{
-    BackendId, Entry, Health, ListKind, Load, Outcome, Request, RequestId, ZoneId,
-};
-use applemill_balancer::wire;
-use applemill_ledger::{
-    Answer, AnswerProgress, ConnEvent, ConnId, Effect, ExchangeResult, Input, Ledger, Limits, Payload,
-    RequestProgress, Target,
-};
-use std::net::SocketAddr;
+mod common;
 
-type Out = Effect<u64, &'static str, &'static str>;
+use applemill_balancer::interface::Outcome;
+use applemill_ledger::{Answer, ConnEvent, ConnId, Effect, Input, Payload};
+use common::{Fixture, KEYED, Out, SAFE, UNSAFE};
 
 const LEASE_UNTIL_MS: f64 = 1_400.0;
-const SAFE: usize = 0;
-const UNSAFE: usize = 1;
-const KEYED: usize = 2;
 
-/// A ledger with one backend in each of two zones, at 1,000 ms.
-struct Fixture {
-    ledger: Ledger<u64, &'static str>,
-    now: f64,
-}
-
-impl Fixture {
-    fn new() -> Fixture {
-        let settings = r#"{"classes": [
-            {"name": "page", "semantics": "idempotent", "objectiveMs": 900, "hardLimitMs": 900},
-            {"name": "bid", "semantics": "at_most_once", "objectiveMs": 900, "hardLimitMs": 900},
-            {"name": "pay", "semantics": "deduplicated", "group": "zone", "keyTtlMs": 5000, "objectiveMs": 900,
-             "hardLimitMs": 900}],
-            "limits": {"attemptsCap": 3, "mayCancel": true, "connIdleMs": 10000, "connectTimeoutMs": 800,
-                       "retryAfter": true, "maxRetryAfterMs": 2000, "probing": true},
-            "rules": {"coldMs": 0, "startCapacity": 1, "fallMultiple": 2, "fallMs": 600, "drainGraceMs": 500,
-                      "mustAskInMs": 10000}}"#;
-        let (settings, _) = wire::settings(settings).unwrap();
-        let limits = Limits { connect_ms: 800.0, idle_ms: 10_000.0, acts_on_partial: true };
-        let ledger = Ledger::new(Balancer::new(settings, 1).unwrap(), limits);
-        let mut fixture = Fixture { ledger, now: 1_000.0 };
-        fixture.handle(Input::Start);
-        fixture.handle(Input::List(ListKind::Saved, vec![target(1), target(2)]));
-        fixture.handle(Input::ListLease(LEASE_UNTIL_MS));
-        fixture
-    }
-
-    fn handle(&mut self, input: Input<u64, &'static str, &'static str>) -> Vec<Out> {
-        let mut out = Vec::new();
-        self.ledger.handle(self.now, input, &mut out);
-        out
-    }
-
-    fn arrive(&mut self, id: u64, class: usize) -> Vec<Out> {
-        let request = Request {
-            id: RequestId(id),
-            class,
-            tenant: None,
-            key: Some(id),
-            deadline_ms: self.now + 890.0,
-            effort_ms: None,
-            retry: false,
-            suspect: false,
-        };
-        let expires_ms = self.now + 895.0;
-        let input =
-            Input::Arrived { request, expires_ms, upload_ms: None, work: None, call: "call", owed: id };
-        self.handle(input)
-    }
-
-    fn event(&mut self, conn: u64, event: ConnEvent<&'static str>) -> Vec<Out> {
-        self.handle(Input::Conn(ConnId(conn), event))
-    }
-
-    fn connect(&mut self, conn: u64) -> Vec<Out> {
-        self.event(conn, ConnEvent::Dialling);
-        self.event(conn, ConnEvent::Connected)
-    }
-
-    fn end(&mut self, conn: u64, outcome: Outcome) -> Vec<Out> {
-        self.event(conn, ConnEvent::Progress(RequestProgress::Complete, AnswerProgress::Nothing));
-        let reply = (outcome == Outcome::Done).then_some("reply");
-        let finish = ExchangeResult { outcome, reply, load: Load::default() };
-        self.event(conn, ConnEvent::Complete { finish, again: true })
-    }
-
-    fn expire(&mut self) {
-        self.now = LEASE_UNTIL_MS + 1.0;
-    }
+fn with_lease() -> Fixture {
+    let mut fixture = Fixture::new();
+    fixture.handle(Input::ListLease(LEASE_UNTIL_MS));
+    fixture
 }
 
-fn target(backend: u64) -> Target {
-    let entry = Entry {
-        backend: BackendId(backend),
-        zone: Some(ZoneId(backend)),
-        cell: None,
-        health: Health::Up,
-        units: 1.0,
-        ready_at_ms: 0.0,
-    };
-    Target { entry, address: Some(SocketAddr::from(([127, 0, 0, backend as u8], 80))) }
+fn expire(fixture: &mut Fixture) {
+    fixture.now = LEASE_UNTIL_MS + 1.0;
 }
 
 fn sends(out: &[Out]) -> usize {
@@ -114,9 +31,9 @@
 
 #[test]
 fn a_request_after_the_lease_is_refused_at_once_with_a_time_to_come_back() {
-    let mut fixture = Fixture::new();
+    let mut fixture = with_lease();
     assert_eq!(sends(&fixture.arrive(1, SAFE)), 1);
-    fixture.expire();
+    expire(&mut fixture);
     for (id, class) in [(2, SAFE), (3, UNSAFE), (4, KEYED)] {
         let out = fixture.arrive(id, class);
         assert!(sends(&out) == 0 && is_refused(&out), "class {class}: {out:?}");
@@ -128,9 +45,9 @@
 /// Guards against a request that waits for its connection until the lease has expired, and begins then.
 #[test]
 fn a_request_whose_connection_comes_up_after_the_lease_is_refused() {
-    let mut fixture = Fixture::new();
+    let mut fixture = with_lease();
     assert_eq!(sends(&fixture.arrive(1, UNSAFE)), 1);
-    fixture.expire();
+    expire(&mut fixture);
     let out = fixture.connect(0);
     assert!(sends(&out) == 0 && is_refused(&out), "{out:?}");
     assert!(out.contains(&Effect::Close(ConnId(0))));
@@ -139,7 +56,7 @@
 /// Guards against the same with a connection that had been kept and turns out to be closed.
 #[test]
 fn a_request_that_finds_its_kept_connection_closed_after_the_lease_is_refused() {
-    let mut fixture = Fixture::new();
+    let mut fixture = with_lease();
     fixture.arrive(1, UNSAFE);
     fixture.connect(0);
     fixture.end(0, Outcome::Done);
@@ -151,7 +68,7 @@
         panic!("the kept connection is used: {out:?}")
     };
     let conn = *conn;
-    fixture.expire();
+    expire(&mut fixture);
     let out = fixture.event(conn, ConnEvent::Stale);
     assert!(sends(&out) == 0 && is_refused(&out), "{out:?}");
 }
@@ -159,20 +76,20 @@
 /// Guards against the same with a new connection, where the process was held up before the request was written.
 #[test]
 fn a_request_that_was_not_written_in_time_is_refused() {
-    let mut fixture = Fixture::new();
+    let mut fixture = with_lease();
     fixture.arrive(1, UNSAFE);
     assert_eq!(sends(&fixture.connect(0)), 1);
-    fixture.expire();
+    expire(&mut fixture);
     let out = fixture.event(0, ConnEvent::Stale);
     assert!(sends(&out) == 0 && is_refused(&out), "{out:?}");
 }
 
 #[test]
 fn a_request_that_is_being_answered_when_the_lease_expires_gets_its_answer() {
-    let mut fixture = Fixture::new();
+    let mut fixture = with_lease();
     fixture.arrive(1, UNSAFE);
     fixture.connect(0);
-    fixture.expire();
+    expire(&mut fixture);
     let out = fixture.end(0, Outcome::Done);
     assert!(out.contains(&Effect::Answer(1, Answer::Served("reply"))), "{out:?}");
 }
@@ -182,10 +99,10 @@
 #[test]
 fn a_request_that_may_have_run_before_the_lease_expired_is_not_sent_again() {
     for (class, is_refusable) in [(SAFE, true), (UNSAFE, false), (KEYED, false)] {
-        let mut fixture = Fixture::new();
+        let mut fixture = with_lease();
         fixture.arrive(1, class);
         fixture.connect(0);
-        fixture.expire();
+        expire(&mut fixture);
         let out = fixture.end(0, Outcome::Error);
         assert_eq!(sends(&out), 0, "class {class}: {out:?}");
         assert_eq!(is_refused(&out), is_refusable, "class {class}: {out:?}");
@@ -197,7 +114,7 @@
 #[test]
 fn a_congested_backend_gets_no_probe_after_the_lease() {
     for is_expired in [false, true] {
-        let mut fixture = Fixture::new();
+        let mut fixture = with_lease();
         let until_ms = if is_expired { LEASE_UNTIL_MS } else { f64::INFINITY };
         fixture.handle(Input::ListLease(until_ms));
         for id in 0..40 {
--- a/crates/mutants/src/mutations.rs
+++ b/crates/mutants/src/mutations.rs
@@ -161,10 +161,10 @@
         scenarios: &["move", "remove-kept"],
     },
     Mutation {
-        name: "a redirected job keeps the old address",
+        name: "a redirected job keeps the old location",
         replacements: &[Replacement {
             file: "conn_events.rs",
-            from: "                job.address = address;\n",
+            from: "                job.location = location;\n",
             to: "",
         }],
         scenarios: &["move"],
@@ -173,8 +173,8 @@
         name: "a connection is kept although its backend has moved",
         replacements: &[Replacement {
             file: "conn_events.rs",
-            from: "self.addresses.is_at(backend, address)",
-            to: "self.addresses.address(backend).is_some()",
+            from: "self.addresses.is_at(backend, location)",
+            to: "self.addresses.location(backend).is_some()",
         }],
         scenarios: &["move"],
     },
@@ -282,8 +282,8 @@
         name: "a list update closes streamed answers",
         replacements: &[Replacement {
             file: "conn_events.rs",
-            from: "let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, job.address);",
-            to: "let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, job.address);
+            from: "let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, &job.location);",
+            to: "let is_displaced = |job: &Job| !self.addresses.is_at(job.backend, &job.location);
             let stream = self.conns.iter().filter(|(_, c)| matches!(c, Conn::Streaming(..)));
             let stream: Vec<ConnId> = stream.map(|(id, _)| *id).collect();
             for id in stream { out.push(Effect::Close(id)); }",
@@ -309,7 +309,7 @@
                     self.close_idle(stream.backend, out);
                 }",
             to: "(Conn::Streaming(stream), failure @ (ConnEvent::Disconnected | ConnEvent::TooSlow)) => {
-                self.keep_or_close(id, stream.backend, stream.address, true, out);",
+                self.keep_or_close(id, stream.backend, &stream.location, true, out);",
         }],
         scenarios: &["stream", "stream-reuse"],
     },
