Count the lease of a stored list from the start of the process, not of its clock

What callers saw: a process that took a second to start, in an outage, sent 59 bids to a server that its agent had as draining, although its grace was over.

Cause: the lease is to end by the start of the process, but Clock::at_ms took every instant before the clock's own start for that start, so that the time from the first moment to the pool's start was given away.

Change: at_ms converts earlier instants too.

--- a/crates/node/tests/node_unconfirmed_lists.rs
+++ b/crates/node/tests/node_unconfirmed_lists.rs
@@ -157,6 +157,24 @@
     assert!(slowest <= AT_ONCE, "a refusal took {slowest:?}");
 }
 
+/// Guards against counting the grace from the end of a slow start: what the agent has counts from the first moment.
+#[test]
+fn a_process_that_takes_longer_than_the_grace_to_start_uses_no_stored_list() {
+    let floor = Floor::start();
+    floor.drain_and_fall_silent();
+    // The configuration comes from a pipe, a second after the start.
+    let slow_start = "pipe=$(mktemp -u); mkfifo \"$pipe\"; \
+                      (sleep 1; cat \"$LB_CONFIG\" > \"$pipe\"; rm \"$pipe\") & \
+                      LB_CONFIG=$pipe exec \"$0\"";
+    let node = Node::launch(floor.agent.address, |config| config["known"] = floor.known(), slow_start);
+    wait_for("/up is 200", || node.up() == 200);
+    let answers = while_bidding(node.address, |_| thread::sleep(WATCHED));
+    assert_eq!(floor.begun.lock().unwrap().len(), 0, "bids at the draining server");
+    let [served, refused, other] =
+        [&answers.served, &answers.refused, &answers.other].map(|count| count.load(SeqCst));
+    assert!(served == 0 && refused > 20 && other == 0, "{served} served, {refused} refused, {other} other");
+}
+
 /// Guards against bids that wait while the process is stopped and begin in its first moment, by a list of before.
 #[test]
 fn a_process_that_was_stopped_sends_nothing_by_its_old_list() {
--- a/crates/upstream/src/clock.rs
+++ b/crates/upstream/src/clock.rs
@@ -33,9 +33,11 @@
         self.at_ms(Instant::now())
     }
 
-    /// Converts an instant to the time of this clock, in milliseconds.
+    /// Converts an instant, which may lie before the start of this clock, to its time in milliseconds.
     pub fn at_ms(&self, at: Instant) -> f64 {
-        self.start_ms + at.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+        let after = at.saturating_duration_since(self.start);
+        let before = self.start.saturating_duration_since(at);
+        self.start_ms + (after.as_secs_f64() - before.as_secs_f64()) * 1000.0
     }
 
     /// Converts a time of this clock to an instant.
--- a/crates/watch-calls/tests/told_to_known.rs
+++ b/crates/watch-calls/tests/told_to_known.rs
@@ -261,7 +261,8 @@
     }
 }
 
-/// Answers the next call of a watch 100 ms later, and runs on for the rest of a second; returns the revision after which it asked, and how far the list is used.
+/// Answers the next call of a watch 100 ms later, and runs on for the rest of a second; returns the revision after
+/// which it asked, and how far the list is used.
 fn answer(watch: &mut WatchCalls, now: f64, revision: u64, is_full: bool) -> (Option<u64>, ListUse) {
     let Some(Step::Start(id, query)) = watch.tick(now, true).first().copied() else { panic!("no call") };
     let list_use = watch.answered(now + 100.0, id, ListVersion { revision, is_full }).0;
